--- /dev/null
+++ b/claim/claimer.go
@@ -0,0 +1,259 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apricotmount/apricotmount/codec"
+	"github.com/apricotmount/apricotmount/invariant"
+	"github.com/apricotmount/apricotmount/member"
+	"github.com/apricotmount/apricotmount/stream"
+)
+
+// Settings of a Claimer; zero values mean the defaults.
+type Settings struct {
+	// FleetAppends is how many appends per second all nodes together may make
+	// for claims. Default 150.
+	FleetAppends float64
+	// AppendTimeout bounds one append. Default 1 s.
+	AppendTimeout time.Duration
+	// MaxBatch is the most requests of one record. Default 512.
+	MaxBatch int
+	// Patience is the most time a call waits for its claim. Default 2 s.
+	Patience time.Duration
+}
+
+const (
+	defaultFleetAppends  = 150
+	defaultAppendTimeout = time.Second
+	defaultMaxBatch      = 512
+	defaultPatience      = 2 * time.Second
+	// appendBurst is how many appends a quiet node may make at once.
+	appendBurst = 4
+)
+
+func (s Settings) withDefaults() Settings {
+	if s.FleetAppends == 0 {
+		s.FleetAppends = defaultFleetAppends
+	}
+	if s.AppendTimeout == 0 {
+		s.AppendTimeout = defaultAppendTimeout
+	}
+	if s.MaxBatch == 0 {
+		s.MaxBatch = defaultMaxBatch
+	}
+	if s.Patience == 0 {
+		s.Patience = defaultPatience
+	}
+	return s
+}
+
+// Claimer makes the claims of one node.
+type Claimer struct {
+	Log      stream.Log
+	Holder   member.Incarnation
+	Settings Settings
+	// Ready reports whether the book has been read to the stream's end.
+	Ready func() bool
+	// Fleet is how many nodes share the appends; nil means one.
+	Fleet func() int
+	// Failed, if set, is told of appends that were not acknowledged.
+	Failed func(err error)
+	Checks *invariant.Checks
+	// Book is the fold of the stream; its Decided is set by Start.
+	Book *Book
+
+	mu       sync.Mutex
+	last     Number
+	pending  map[Number]*Claim
+	requests []Request
+	releases []Release
+	wake     chan struct{}
+	tokens   float64
+	filled   time.Time
+	away     bool
+}
+
+// Start prepares the claimer; Run appends what gathers until ctx ends.
+func (c *Claimer) Start() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending = map[Number]*Claim{}
+	c.wake = make(chan struct{}, 1)
+	c.Book.Decided = c.decided
+}
+
+// Run appends claims and releases in batches until ctx ends.
+func (c *Claimer) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+		for c.appendNext(ctx) {
+		}
+	}
+}
+
+// appendNext appends one batch, waiting for the node's share of appends; it
+// reports whether there may be more.
+func (c *Claimer) appendNext(ctx context.Context) bool {
+	if !c.awaitShare(ctx) {
+		return false
+	}
+	batch, ok := c.take()
+	if !ok {
+		return false
+	}
+	cfg := c.Settings.withDefaults()
+	appendCtx, cancel := context.WithTimeout(ctx, cfg.AppendTimeout)
+	defer cancel()
+	_, err := c.Log.Append(appendCtx, Stream, codec.Encode(batch))
+	c.setAway(err != nil)
+	if err != nil && c.Failed != nil {
+		c.Failed(err)
+	}
+	if err != nil {
+		c.giveUp(batch)
+	}
+	return true
+}
+
+// awaitShare waits until the node may append again.
+func (c *Claimer) awaitShare(ctx context.Context) bool {
+	for {
+		wait := c.shareWait(time.Now())
+		if wait <= 0 {
+			return true
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		case <-timer.C:
+		}
+	}
+}
+
+func (c *Claimer) shareWait(now time.Time) time.Duration {
+	fleet := 1
+	if c.Fleet != nil {
+		fleet = max(1, c.Fleet())
+	}
+	rate := c.Settings.withDefaults().FleetAppends / float64(fleet)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.filled.IsZero() {
+		c.tokens = appendBurst
+	} else {
+		c.tokens = min(appendBurst, c.tokens+rate*now.Sub(c.filled).Seconds())
+	}
+	c.filled = now
+	if len(c.requests) == 0 && len(c.releases) == 0 {
+		return 0
+	}
+	if c.tokens >= 1 {
+		c.tokens--
+		return 0
+	}
+	return max(time.Millisecond, time.Duration((1-c.tokens)/rate*float64(time.Second)))
+}
+
+func (c *Claimer) take() (b Batch, ok bool) {
+	maxBatch := c.Settings.withDefaults().MaxBatch
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b = Batch{Holder: c.Holder}
+	n := min(len(c.requests), maxBatch)
+	b.Requests, c.requests = c.requests[:n:n], c.requests[n:]
+	n = min(len(c.releases), maxBatch)
+	b.Releases, c.releases = c.releases[:n:n], c.releases[n:]
+	return b, len(b.Requests)+len(b.Releases) > 0
+}
+
+// giveUp keeps the releases of an append that was not acknowledged, to be made
+// again: a release that counts twice does no harm. Requests are not repeated;
+// they are granted if the record turns out to be in the stream.
+func (c *Claimer) giveUp(b Batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releases = append(c.releases, b.Releases...)
+	if extra := len(c.releases) - maxKeptReleases; extra > 0 {
+		c.releases = c.releases[extra:]
+	}
+}
+
+// maxKeptReleases bounds the releases kept while the log is away; those beyond
+// it stay claimed until their windows end.
+const maxKeptReleases = 1 << 14
+
+func (c *Claimer) setAway(away bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.away = away
+}
+
+// Away reports whether the latest append failed.
+func (c *Claimer) Away() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.away
+}
+
+// decided takes a decision of the book; it is called with the book's lock held.
+func (c *Claimer) decided(d Decision) {
+	if d.Holder != c.Holder {
+		return
+	}
+	c.mu.Lock()
+	claim := c.pending[d.Request.Number]
+	delete(c.pending, d.Request.Number)
+	c.mu.Unlock()
+	if claim != nil {
+		claim.decide(d.Granted)
+	}
+}
+
+// request queues a claim's request.
+func (c *Claimer) request(claim *Claim) {
+	c.mu.Lock()
+	c.last++
+	claim.request.Number = c.last
+	c.pending[c.last] = claim
+	c.requests = append(c.requests, claim.request)
+	c.mu.Unlock()
+	c.poke()
+}
+
+// release queues a release.
+func (c *Claimer) release(r Release) {
+	c.mu.Lock()
+	c.releases = append(c.releases, r)
+	c.mu.Unlock()
+	c.poke()
+}
+
+// withdraw takes back a request that has not been appended yet; it reports
+// false if it may be in the stream.
+func (c *Claimer) withdraw(n Number) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, r := range c.requests {
+		if r.Number == n {
+			c.requests = append(c.requests[:i:i], c.requests[i+1:]...)
+			delete(c.pending, n)
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Claimer) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/cmd/apricotctl/doc.go
@@ -0,0 +1,2 @@
+// Command apricotctl is for operators, and for trying things out.
+package main
--- /dev/null
+++ b/cmd/apricotmount/doc.go
@@ -0,0 +1,2 @@
+// Command apricotmount runs one entry node.
+package main
--- /dev/null
+++ b/cmd/apricotmount/main.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"go.uber.org/zap"
+
+	"github.com/apricotmount/apricotmount/metrics"
+	"github.com/apricotmount/apricotmount/node"
+	"github.com/apricotmount/apricotmount/settings"
+	"github.com/apricotmount/apricotmount/stream"
+	"github.com/apricotmount/apricotmount/vm"
+)
+
+type arguments struct {
+	Settings      string `arg:"-s,--settings" help:"the settings file, YAML"`
+	Check         bool   `arg:"--check" help:"check the settings file and end"`
+	PrintDefaults bool   `arg:"--print-defaults" help:"print every setting with its default and end"`
+}
+
+// Description tells go-arg what to print above the options.
+func (arguments) Description() string {
+	return "apricotmount runs one entry node, between the platform's balancer and the targets.\n"
+}
+
+func main() {
+	var args arguments
+	p := arg.MustParse(&args)
+	if args.PrintDefaults {
+		text, err := settings.PrintDefaults()
+		fail(err)
+		fmt.Print(text)
+		return
+	}
+	if args.Settings == "" {
+		p.Fail("--settings is missing")
+	}
+	s, err := settings.Load(args.Settings)
+	fail(err)
+	if args.Check {
+		fmt.Println("the settings are sound")
+		return
+	}
+	fail(run(s))
+}
+
+// run serves until a signal ends it: the first SIGTERM or SIGINT begins a
+// planned stop, the second ends it at once.
+func run(s settings.Settings) error {
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(s.LogLevel)
+	logger, err := cfg.Build()
+	if err != nil {
+		return err
+	}
+	defer logger.Sync()
+	platform := node.Platform{Log: &stream.Client{URL: s.LogURL}, Lister: &vm.Client{URL: s.VMsURL}}
+	n := node.New(s, platform, logger, metrics.NewRegistry())
+	if err := n.Start(); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	if cut := n.Stop(ctx); cut > 0 {
+		return fmt.Errorf("the stop was forced; %d calls were cut off", cut)
+	}
+	return nil
+}
+
+func fail(err error) {
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "apricotmount:", err)
+	os.Exit(1)
+}
--- /dev/null
+++ b/coldstart/keeper.go
@@ -0,0 +1,210 @@
+package coldstart
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apricotmount/apricotmount/codec"
+	"github.com/apricotmount/apricotmount/member"
+	"github.com/apricotmount/apricotmount/stream"
+	"github.com/apricotmount/apricotmount/vm"
+)
+
+// Settings of a Keeper; zero values mean the defaults.
+type Settings struct {
+	// Lease is how long a lease lasts. Default 30 s.
+	Lease time.Duration
+	// AppendTimeout bounds one append. Default 2 s.
+	AppendTimeout time.Duration
+}
+
+const (
+	defaultLease         = 30 * time.Second
+	defaultAppendTimeout = 2 * time.Second
+	// renewals is how often a lease is renewed while it lasts.
+	renewals = 3
+	// marginShare is the part of a lease, as a divisor, that its holder does not
+	// use: clocks may run apart by so much and no more.
+	marginShare = 10
+)
+
+func (s Settings) withDefaults() Settings {
+	if s.Lease == 0 {
+		s.Lease = defaultLease
+	}
+	if s.AppendTimeout == 0 {
+		s.AppendTimeout = defaultAppendTimeout
+	}
+	return s
+}
+
+// instant is a point in time on both clocks of the machine: the monotonic one
+// stands still while a VM is suspended, the wall clock may be set.
+type instant struct {
+	mono, wall time.Time
+}
+
+func instantOf(t time.Time) instant {
+	return instant{mono: t, wall: t.Round(0)}
+}
+
+// elapsed is the longer of the times that the two clocks saw pass.
+func (i instant) elapsed(now time.Time) time.Duration {
+	return max(now.Sub(i.mono), now.Round(0).Sub(i.wall))
+}
+
+// Keeper renews the leases that fall to one node. It is a target.Rights.
+type Keeper struct {
+	Log      stream.Log
+	Holder   member.Incarnation
+	Settings Settings
+	Book     *Book
+	// Live returns the live members, the node itself included.
+	Live func() []member.Entry
+	// Failed, if set, is told of appends that were not acknowledged.
+	Failed func(err error)
+
+	mu      sync.Mutex
+	last    uint64
+	sent    map[uint64]instant
+	held    [Shards]instant
+	leaving bool
+}
+
+// Start prepares the keeper; Run renews until ctx ends.
+func (k *Keeper) Start() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.sent = map[uint64]instant{}
+	k.Book.Granted = k.granted
+}
+
+// Run asks for leases and renews them until ctx ends, then gives them back.
+func (k *Keeper) Run(ctx context.Context) {
+	cfg := k.Settings.withDefaults()
+	// Nodes that start together first get to know each other.
+	sleep(ctx, firstWait/2+rand.N(firstWait))
+	for ctx.Err() == nil {
+		k.append(ctx, Lease{Shards: k.wanted()})
+		wait := cfg.Lease / renewals
+		sleep(ctx, wait/2+rand.N(wait/2))
+	}
+}
+
+// firstWait is about how long a new node waits before it asks for leases.
+const firstWait = 2 * time.Second
+
+// GiveBack frees all shards; the caller must have ended all calls to cold
+// targets.
+func (k *Keeper) GiveBack(ctx context.Context) {
+	k.append(ctx, Lease{Freed: k.dropAll()})
+}
+
+// wanted returns the shards that fall to this node among the live members.
+func (k *Keeper) wanted() (s Set) {
+	live := k.Live()
+	for i := range Shards {
+		if member.Owner(live, uint64(i)) == k.Holder {
+			s.Add(Shard(i))
+		}
+	}
+	return s
+}
+
+// append sends one record; what it won is learnt from the stream.
+func (k *Keeper) append(ctx context.Context, l Lease) {
+	cfg := k.Settings.withDefaults()
+	l.Holder = k.Holder
+	l.Number = k.note()
+	l.Length = uint32(cfg.Lease.Milliseconds())
+	ctx, cancel := context.WithTimeout(ctx, cfg.AppendTimeout)
+	defer cancel()
+	if _, err := k.Log.Append(ctx, Stream, codec.Encode(l)); err != nil && k.Failed != nil {
+		k.Failed(err)
+	}
+}
+
+// note remembers when a record was sent, before it is sent.
+func (k *Keeper) note() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.last++
+	k.sent[k.last] = instantOf(time.Now())
+	delete(k.sent, k.last-maxUnseen)
+	return k.last
+}
+
+// maxUnseen is how many records may be on their way before old ones are given
+// up.
+const maxUnseen = 16
+
+// dropAll stops using all shards and returns those that were held.
+func (k *Keeper) dropAll() (s Set) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving = true
+	for i := range k.held {
+		if k.held[i] != (instant{}) {
+			s.Add(Shard(i))
+		}
+		k.held[i] = instant{}
+	}
+	return s
+}
+
+// granted takes what a record won; it is called with the book's lock held.
+func (k *Keeper) granted(g Granted) {
+	if g.Lease.Holder != k.Holder {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	sent, ok := k.sent[g.Lease.Number]
+	if !ok {
+		return
+	}
+	delete(k.sent, g.Lease.Number)
+	for i := range k.held {
+		if g.Shards.Has(Shard(i)) && !k.leaving {
+			k.held[i] = sent
+		}
+	}
+}
+
+// Until returns the end of this node's right to a target, if it has one.
+func (k *Keeper) Until(id vm.ID, now time.Time) (end time.Time, ok bool) {
+	length := k.Settings.withDefaults().Lease
+	usable := length - length/marginShare
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	since := k.held[ShardOf(id)]
+	if since == (instant{}) {
+		return time.Time{}, false
+	}
+	left := usable - since.elapsed(now)
+	return now.Add(left), left > 0
+}
+
+// Held is how many shards this node holds.
+func (k *Keeper) Held(now time.Time) (n int) {
+	length := k.Settings.withDefaults().Lease
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, since := range k.held {
+		if since != (instant{}) && since.elapsed(now) < length-length/marginShare {
+			n++
+		}
+	}
+	return n
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,217 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/apricotmount/apricotmount/fault"
+	"github.com/apricotmount/apricotmount/profile"
+	"github.com/apricotmount/apricotmount/service"
+	"github.com/apricotmount/apricotmount/vm"
+	"github.com/apricotmount/apricotmount/zone"
+)
+
+// Document is a publication as people write it.
+type Document struct {
+	// Base is the revision the changes are based on; absent means the one in
+	// force where the document is handed in.
+	Base           *uint64            `json:"base,omitempty" yaml:"base,omitempty"`
+	Operator       string             `json:"operator,omitempty" yaml:"operator,omitempty"`
+	Profiles       []profile.Document `json:"profiles,omitempty" yaml:"profiles,omitempty"`
+	Services       []service.Document `json:"services,omitempty" yaml:"services,omitempty"`
+	DeleteProfiles []profile.Name     `json:"delete-profiles,omitempty" yaml:"delete-profiles,omitempty"`
+	DeleteServices []service.Name     `json:"delete-services,omitempty" yaml:"delete-services,omitempty"`
+	ZonesOut       []zone.Name        `json:"zones-out,omitempty" yaml:"zones-out,omitempty"`
+	ZonesIn        []zone.Name        `json:"zones-in,omitempty" yaml:"zones-in,omitempty"`
+	VMsOut         []vm.ID            `json:"vms-out,omitempty" yaml:"vms-out,omitempty"`
+	VMsIn          []vm.ID            `json:"vms-in,omitempty" yaml:"vms-in,omitempty"`
+	// Force is the explicit word for a withdrawal that leaves a service
+	// without targets, or with fewer slots than are in use.
+	Force bool `json:"force,omitempty" yaml:"force,omitempty"`
+}
+
+// Capacity is what is known of a service's targets in one availability zone.
+type Capacity struct {
+	Service service.Name
+	Zone    zone.Name
+	VM      vm.ID
+	Slots   int
+	// InUse is how many calls are open there, as far as it is known.
+	InUse float64
+}
+
+// Facts is what a publication is checked against besides the configuration.
+type Facts struct {
+	Capacities []Capacity
+	// LogRetention bounds the window of idempotency keys.
+	LogRetention time.Duration
+	// Zones and VMs are those the platform lists.
+	Zones map[zone.Name]bool
+	VMs   map[vm.ID]bool
+}
+
+// Prepare checks a document whole against the configuration in force and
+// returns the publication to append; the error is a fault.List.
+func Prepare(c *Configuration, doc Document, facts Facts) (p Publication, err error) {
+	var faults fault.List
+	p = Publication{ID: PublicationID(uuid.NewString()), Base: c.Revision, Operator: doc.Operator}
+	if doc.Base != nil {
+		p.Base = Revision(*doc.Base)
+	}
+	p.Changes = append(p.Changes, profileChanges(doc, facts, &faults)...)
+	p.Changes = append(p.Changes, serviceChanges(doc, &faults)...)
+	p.Changes = append(p.Changes, deletions(c, doc, &faults)...)
+	p.Changes = append(p.Changes, withdrawals(c, doc, facts, &faults)...)
+	if len(p.Changes) == 0 && len(faults) == 0 {
+		faults.Add("document", "changes nothing")
+	}
+	if len(faults) == 0 {
+		checkOutcome(c, p, doc, facts, &faults)
+	}
+	return p, faults.Err()
+}
+
+func profileChanges(doc Document, facts Facts, faults *fault.List) (changes []Change) {
+	seen := map[profile.Name]bool{}
+	for i, d := range doc.Profiles {
+		path := pathOf("profiles", i, string(d.Name))
+		p, err := profile.Parse(d)
+		faults.Under(path, fault.Of(err))
+		if facts.LogRetention > 0 && p.KeyWindow > facts.LogRetention {
+			faults.Add(path+".key-window", "%s is longer than the log keeps records, %s", p.KeyWindow, facts.LogRetention)
+		}
+		if seen[d.Name] {
+			faults.Add(path+".name", "%q is given twice", d.Name)
+		}
+		seen[d.Name] = true
+		changes = append(changes, Change{PutProfile: &p})
+	}
+	return changes
+}
+
+func serviceChanges(doc Document, faults *fault.List) (changes []Change) {
+	seen := map[service.Name]bool{}
+	for i, d := range doc.Services {
+		path := pathOf("services", i, string(d.Name))
+		s, err := service.Parse(d)
+		faults.Under(path, fault.Of(err))
+		if seen[d.Name] {
+			faults.Add(path+".name", "%q is given twice", d.Name)
+		}
+		seen[d.Name] = true
+		changes = append(changes, Change{PutService: &s})
+	}
+	return changes
+}
+
+func pathOf(list string, i int, name string) string {
+	if name == "" {
+		return fmt.Sprintf("%s[%d]", list, i)
+	}
+	return list + "." + name
+}
+
+func deletions(c *Configuration, doc Document, faults *fault.List) (changes []Change) {
+	for _, name := range doc.DeleteServices {
+		if _, ok := c.Services[name]; !ok {
+			faults.Add("delete-services", "there is no service %q", name)
+		}
+		changes = append(changes, Change{DeleteService: name})
+	}
+	for _, name := range doc.DeleteProfiles {
+		if _, ok := c.Profiles[name]; !ok {
+			faults.Add("delete-profiles", "there is no profile %q", name)
+		}
+		changes = append(changes, Change{DeleteProfile: name})
+	}
+	return changes
+}
+
+func withdrawals(c *Configuration, doc Document, facts Facts, faults *fault.List) (changes []Change) {
+	for _, z := range doc.ZonesOut {
+		if facts.Zones != nil && !facts.Zones[z] {
+			faults.Add("zones-out", "the platform lists no VM in availability zone %q", z)
+		}
+		changes = append(changes, Change{WithdrawZone: z})
+	}
+	for _, z := range doc.ZonesIn {
+		if _, out := c.WithdrawnZones[z]; !out {
+			faults.Add("zones-in", "availability zone %q is not out of service", z)
+		}
+		changes = append(changes, Change{ReturnZone: z})
+	}
+	for _, id := range doc.VMsOut {
+		if facts.VMs != nil && !facts.VMs[id] {
+			faults.Add("vms-out", "the platform does not list VM %q", id)
+		}
+		changes = append(changes, Change{WithdrawVM: id})
+	}
+	for _, id := range doc.VMsIn {
+		if _, out := c.WithdrawnVMs[id]; !out {
+			faults.Add("vms-in", "VM %q is not out of service", id)
+		}
+		changes = append(changes, Change{ReturnVM: id})
+	}
+	return changes
+}
+
+// checkOutcome checks the configuration that would come of a publication.
+func checkOutcome(c *Configuration, p Publication, doc Document, facts Facts, faults *fault.List) {
+	next := c.clone()
+	next.apply(&p, time.Time{})
+	for _, s := range next.Services {
+		if _, ok := next.Profiles[s.Profile]; !ok {
+			faults.Add("services."+string(s.Name)+".profile", "there is no profile %q", s.Profile)
+		}
+	}
+	checkOverlap(next, faults)
+	if !doc.Force && (len(doc.ZonesOut) > 0 || len(doc.VMsOut) > 0) {
+		checkCapacity(next, facts, faults)
+	}
+}
+
+// checkOverlap refuses two services that match the same calls.
+func checkOverlap(c *Configuration, faults *fault.List) {
+	type match struct{ host, prefix string }
+	owner := map[match]service.Name{}
+	for _, s := range c.Services {
+		m := match{s.Host, s.PathPrefix}
+		if other, taken := owner[m]; taken {
+			first, second := min(other, s.Name), max(other, s.Name)
+			faults.Add("services."+string(second)+".path-prefix", "matches the same calls as service %q", first)
+		}
+		owner[m] = s.Name
+	}
+}
+
+// checkCapacity asks for an explicit word where a withdrawal takes more than
+// the rest can carry.
+func checkCapacity(next *Configuration, facts Facts, faults *fault.List) {
+	type sum struct {
+		before, after int
+		inUse         float64
+	}
+	sums := map[service.Name]*sum{}
+	for _, k := range facts.Capacities {
+		s := sums[k.Service]
+		if s == nil {
+			s = &sum{}
+			sums[k.Service] = s
+		}
+		s.before += k.Slots
+		s.inUse += k.InUse
+		if !next.Withdrawn(k.VM, k.Zone) {
+			s.after += k.Slots
+		}
+	}
+	for name, s := range sums {
+		switch {
+		case s.after == 0 && s.before > 0:
+			faults.Add("force", "is needed: service %q would have no targets left", name)
+		case float64(s.after) < s.inUse:
+			faults.Add("force", "is needed: service %q uses %.0f slots and would have %d left", name, s.inUse, s.after)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,171 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/apricotmount/apricotmount/admission"
+	"github.com/apricotmount/apricotmount/invariant"
+	"github.com/apricotmount/apricotmount/outcome"
+	"github.com/apricotmount/apricotmount/profile"
+	"github.com/apricotmount/apricotmount/retry"
+	"github.com/apricotmount/apricotmount/target"
+)
+
+// Attempt is one try at one target.
+type Attempt struct {
+	Target target.Ref
+	// HeaderBy is when the answer's headers must have come.
+	HeaderBy time.Time
+	// Deadline is the call's own deadline, less this layer's cost.
+	Deadline time.Time
+	// Allowance is how many further attempts the layers below may make.
+	Allowance int
+	// Proven asks for a connection that is new or has just been heard on, since
+	// a lost answer could not be tried again.
+	Proven bool
+	// Permit is asked right before the first byte is written; if it says no,
+	// nothing may be written.
+	Permit func() bool
+}
+
+// Answer is an answer whose headers have come.
+type Answer interface {
+	// Failed reports whether the target says that it failed (5xx).
+	Failed() bool
+	// Report is the load stated on the answer.
+	Report() target.Report
+	// Spent is how many further attempts the layers below made.
+	Spent() int
+	// Discard ends an answer that nobody wants.
+	Discard()
+}
+
+// Failure is an attempt without an answer.
+type Failure struct {
+	Result target.Result
+	// Written says that a byte of the call may have reached the target.
+	Written bool
+	// BodyGone says that the body cannot be sent again.
+	BodyGone bool
+	Report   target.Report
+	Spent    int
+}
+
+// Sender makes attempts.
+type Sender interface {
+	// Send makes one attempt. It returns an answer once its headers are in, or
+	// a failure. When ctx ends it cancels the attempt at the target.
+	Send(ctx context.Context, a Attempt) (Answer, *Failure)
+}
+
+// Claim is the right to send a keyed call, once.
+type Claim interface {
+	// Acquire gets the right, or says why it cannot be had.
+	Acquire(ctx context.Context) outcome.Refusal
+	// Use spends the right; it reports false if it is gone or was used.
+	Use() bool
+	// Unused gives the right back after an attempt that certainly did not run.
+	Unused()
+	// Release lets the key be used again by anyone: the call was not run.
+	Release()
+}
+
+// Call is one call to carry.
+type Call struct {
+	Profile  *profile.Profile
+	Caller   admission.Caller
+	Deadline time.Time
+	// Allowance is the further attempts left over the chain.
+	Allowance retry.Allowance
+	// Replayable says that the body can be sent again.
+	Replayable bool
+	// Claim guards a keyed call; nil if there is none.
+	Claim Claim
+}
+
+// Service is what a node holds of one service to carry its calls.
+type Service struct {
+	Table     *target.Table
+	Gate      *admission.Gate
+	Retries   *retry.Budget
+	Hedges    *retry.Budget
+	Latencies *retry.Latencies
+}
+
+// Further is told of each further attempt and each one forgone.
+type Further interface {
+	Further(r outcome.RetryReason)
+}
+
+// Dispatcher carries calls. Its zero value works and counts nothing.
+type Dispatcher struct {
+	Counts Further
+	Checks *invariant.Checks
+}
+
+// Won is an answered call; it must be given to Finish once.
+type Won struct {
+	Answer Answer
+	// Waited is how long the call waited in this node before its attempt.
+	Waited time.Duration
+	// Spent is how many further attempts were made here and below.
+	Spent int
+
+	run   *run
+	place target.Place
+	end   func()
+}
+
+// Lost is a call without an answer.
+type Lost struct {
+	Outcome outcome.Outcome
+	Reason  outcome.Reason
+	// Spent is how many further attempts were made here and below.
+	Spent int
+}
+
+// layerCost is what this layer takes off the deadline it hands on.
+const layerCost = time.Millisecond
+
+// Do carries a call until its answer's headers are in. Exactly one of the
+// results is non-nil.
+func (d *Dispatcher) Do(ctx context.Context, svc *Service, c *Call, s Sender) (*Won, *Lost) {
+	now := time.Now()
+	if !now.Before(c.Deadline) {
+		return nil, &Lost{Outcome: outcome.NotRun, Reason: outcome.DeadlinePassed}
+	}
+	svc.Retries.Earn()
+	svc.Hedges.Earn()
+	place, refusal := svc.Gate.Enter(ctx, admission.Request{
+		Urgency: c.Profile.Urgency, Caller: c.Caller, Deadline: c.Deadline, Wait: c.Profile.QueueWait,
+	})
+	if refusal != "" {
+		return nil, &Lost{Outcome: outcome.NotRun, Reason: refusal}
+	}
+	r := &run{d: d, svc: svc, call: c, sender: s, admitted: place, allowance: c.Allowance, arrived: now}
+	won, lost := r.carry(ctx)
+	if lost != nil {
+		place.Leave(false)
+		d.Checks.Hold(lost.Outcome != outcome.NotRun || !r.mayHaveRun, invariant.NotRunIsTrue)
+	}
+	return won, lost
+}
+
+// Finish ends an answered call; result says how its body ended.
+func (w *Won) Finish(result target.Result) {
+	r := w.run
+	now := time.Now()
+	if result == target.Answered && w.Answer.Failed() {
+		result = target.ServerFailed
+	}
+	r.svc.Table.Finish(w.place, now, result, w.Answer.Report())
+	r.admitted.Leave(result == target.Answered || result == target.ServerFailed)
+	w.end()
+}
+
+func (d *Dispatcher) further(r outcome.RetryReason) {
+	if d.Counts != nil {
+		d.Counts.Further(r)
+	}
+}
--- /dev/null
+++ b/dispatch/race.go
@@ -0,0 +1,267 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apricotmount/apricotmount/outcome"
+	"github.com/apricotmount/apricotmount/target"
+)
+
+// race makes an attempt and, where the profile allows it, a hedge beside it.
+// The first answer wins and the other attempt is cancelled at its target.
+func (r *run) race(ctx context.Context, place target.Place) (*Won, *Failure) {
+	first, cancel := context.WithCancel(ctx)
+	h := r.armHedge(ctx, cancel, place)
+	answer, failure := r.attempt(first, place, r.allowance.HandDown())
+	won, lost := r.settle(h, place, answer, failure)
+	if won == nil {
+		cancel()
+		return nil, lost
+	}
+	// The contexts live on with the answer's body.
+	won.end = func() {
+		cancel()
+		h.release()
+	}
+	return won, nil
+}
+
+// attempt sends to a picked target; a failure is booked with the table at once.
+func (r *run) attempt(ctx context.Context, place target.Place, allowance int) (Answer, *Failure) {
+	headerBy := earliest(r.call.Deadline, time.Now().Add(r.call.Profile.AttemptTimeout))
+	if place.Cold {
+		headerBy = earliest(headerBy, place.Until)
+	}
+	answer, failure := r.sender.Send(ctx, Attempt{
+		Target:    place.Ref,
+		HeaderBy:  headerBy,
+		Deadline:  r.call.Deadline.Add(-layerCost),
+		Allowance: allowance,
+		Proven:    !r.call.Profile.Idempotent,
+		Permit:    func() bool { return r.permit(place) },
+	})
+	if failure != nil {
+		r.svc.Table.Finish(place, time.Now(), failure.Result, failure.Report)
+	}
+	return answer, failure
+}
+
+// permit is the last word before the first byte: the target still takes work,
+// the call is still wanted, and the claim on its key still holds.
+func (r *run) permit(place target.Place) bool {
+	now := time.Now()
+	if !now.Before(r.call.Deadline) || !r.svc.Table.StillOpen(place, now) {
+		return false
+	}
+	if r.call.Claim == nil {
+		return true
+	}
+	r.claimLapsed = !r.call.Claim.Use()
+	return !r.claimLapsed
+}
+
+// settle books the end of a race.
+func (r *run) settle(h *hedge, place target.Place, answer Answer, failure *Failure) (*Won, *Failure) {
+	now := time.Now()
+	if failure == nil {
+		if h.stop() {
+			r.svc.Latencies.Observe(now, now.Sub(place.Started))
+			return r.won(answer, place), nil
+		}
+		// The hedge answered first.
+		answer.Discard()
+		r.svc.Table.Finish(place, now, target.Cancelled, answer.Report())
+	}
+	if won, ok := h.result(); ok {
+		r.mayHaveRun = true
+		r.svc.Latencies.Observe(now, now.Sub(place.Started))
+		r.d.further(outcome.RetryHedgeWon)
+		return r.won(won.answer, won.place), nil
+	}
+	r.noteFailure(place, failure)
+	if f := h.failure(); f != nil {
+		r.noteFailure(h.place, f)
+	}
+	return nil, failure
+}
+
+// noteFailure books a failed attempt with the call.
+func (r *run) noteFailure(place target.Place, f *Failure) {
+	r.noteSent(f)
+	r.allowance.Charge(f.Spent)
+	r.avoid = append(r.avoid, place.Ref.ID)
+	certain := !f.Written || f.Result == target.Refused
+	if certain && r.call.Claim != nil {
+		r.call.Claim.Unused()
+	}
+}
+
+func (r *run) won(answer Answer, place target.Place) *Won {
+	r.allowance.Charge(answer.Spent())
+	waited := place.Started.Sub(r.arrived)
+	return &Won{Answer: answer, Waited: waited, Spent: r.allowance.Spent(), run: r, place: place}
+}
+
+// hedge is the second attempt of a race, which may never start. A nil *hedge is
+// a race without one.
+type hedge struct {
+	run    *run
+	avoid  target.Place
+	cancel context.CancelFunc
+	timer  *time.Timer
+	done   chan struct{}
+
+	mu      sync.Mutex
+	started bool
+	stopped bool
+	end     context.CancelFunc
+	place   target.Place
+	answer  Answer
+	failed  *Failure
+}
+
+// armHedge prepares a hedge after the delay that the observed latencies give,
+// or returns nil where none is allowed.
+func (r *run) armHedge(ctx context.Context, cancel context.CancelFunc, first target.Place) *hedge {
+	if !r.call.Profile.Hedge || !r.call.Profile.Idempotent || !r.call.Replayable {
+		return nil
+	}
+	delay, ok := r.svc.Latencies.Percentile(time.Now(), r.call.Profile.HedgePercentile)
+	if !ok {
+		return nil
+	}
+	h := &hedge{run: r, avoid: first, cancel: cancel, done: make(chan struct{})}
+	h.timer = time.AfterFunc(delay, func() { h.launch(ctx) })
+	return h
+}
+
+// launch starts the hedge if a target seems free and the budgets allow it.
+func (h *hedge) launch(ctx context.Context) {
+	ctx, ok := h.begin(ctx)
+	if !ok {
+		return
+	}
+	defer close(h.done)
+	place, ok := h.pick()
+	if !ok {
+		return
+	}
+	answer, failure := h.run.attempt(ctx, place, 0)
+	h.mu.Lock()
+	stopped := h.stopped
+	h.place, h.answer, h.failed = place, answer, failure
+	h.mu.Unlock()
+	if failure != nil {
+		return
+	}
+	if stopped {
+		answer.Discard()
+		h.run.svc.Table.Finish(place, time.Now(), target.Cancelled, answer.Report())
+		return
+	}
+	// The first attempt returns now, cancelled, and finds this answer.
+	h.cancel()
+}
+
+func (h *hedge) begin(ctx context.Context) (context.Context, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stopped {
+		return nil, false
+	}
+	h.started = true
+	ctx, h.end = context.WithDeadline(ctx, h.run.call.Deadline)
+	return ctx, true
+}
+
+// pick chooses a free target other than the first and spends a token.
+func (h *hedge) pick() (p target.Place, ok bool) {
+	r := h.run
+	place, none := r.svc.Table.Pick(time.Now(), append(r.avoid[:len(r.avoid):len(r.avoid)], h.avoid.Ref.ID), true)
+	if none != target.Found {
+		r.d.further(outcome.ForgoneBusy)
+		return target.Place{}, false
+	}
+	if !r.svc.Hedges.Spend() {
+		r.svc.Table.Finish(place, time.Now(), target.Cancelled, target.Report{})
+		r.d.further(outcome.ForgoneNoTokens)
+		return target.Place{}, false
+	}
+	r.d.further(outcome.RetryHedge)
+	return place, true
+}
+
+// stop ends the hedge for an answer of the first attempt; it reports false if
+// the hedge has answered already.
+func (h *hedge) stop() bool {
+	if h == nil {
+		return true
+	}
+	h.timer.Stop()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.answer != nil {
+		return false
+	}
+	h.stopped = true
+	if h.end != nil {
+		h.end()
+	}
+	return true
+}
+
+// wonAnswer is a hedge's answer and where it came from.
+type wonAnswer struct {
+	answer Answer
+	place  target.Place
+}
+
+// result waits for a started hedge and returns its answer, if it has one.
+func (h *hedge) result() (w wonAnswer, ok bool) {
+	if h == nil {
+		return wonAnswer{}, false
+	}
+	h.timer.Stop()
+	h.mu.Lock()
+	if !h.started {
+		h.stopped = true
+		h.mu.Unlock()
+		return wonAnswer{}, false
+	}
+	h.mu.Unlock()
+	<-h.done
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return wonAnswer{answer: h.answer, place: h.place}, h.answer != nil
+}
+
+// release ends the context of a hedge whose answer has been read.
+func (h *hedge) release() {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.end != nil {
+		h.end()
+	}
+}
+
+// failure is the failure of a hedge that has ended.
+func (h *hedge) failure() *Failure {
+	if h == nil {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failed
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/dispatch/run.go
@@ -0,0 +1,257 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apricotmount/apricotmount/admission"
+	"github.com/apricotmount/apricotmount/invariant"
+	"github.com/apricotmount/apricotmount/outcome"
+	"github.com/apricotmount/apricotmount/retry"
+	"github.com/apricotmount/apricotmount/target"
+	"github.com/apricotmount/apricotmount/vm"
+)
+
+const (
+	// triesPerRound is how many targets are tried before the call pauses.
+	triesPerRound = 3
+	// pauseLow and pauseHigh bound the pause between rounds; it doubles.
+	pauseLow  = 2 * time.Millisecond
+	pauseHigh = 32 * time.Millisecond
+	// maxConnectFailures bounds the attempts of a call that found no connection.
+	maxConnectFailures = 4
+)
+
+// run is one call on its way.
+type run struct {
+	d         *Dispatcher
+	svc       *Service
+	call      *Call
+	sender    Sender
+	admitted  admission.Place
+	allowance retry.Allowance
+	arrived   time.Time
+
+	avoid           []vm.ID
+	tries           int
+	pause           time.Duration
+	connectFailures int
+	sends           int
+	mayHaveRun      bool
+	claimLapsed     bool
+	last            outcome.Reason
+}
+
+// carry makes attempts until one is answered or none may follow.
+func (r *run) carry(ctx context.Context) (*Won, *Lost) {
+	if refusal := r.acquire(ctx); refusal.Reason != "" {
+		return nil, &Lost{Outcome: refusal.Outcome, Reason: refusal.Reason, Spent: r.allowance.Spent()}
+	}
+	for {
+		if reason := r.ended(ctx); reason != "" {
+			return nil, r.lost(reason)
+		}
+		place, none := r.svc.Table.Pick(time.Now(), r.avoid, false)
+		if none != target.Found {
+			if reason := r.without(ctx, none); reason != "" {
+				return nil, r.lost(reason)
+			}
+			continue
+		}
+		won, failure := r.race(ctx, place)
+		if won != nil && !r.tryFailedAgain(won) {
+			return won, nil
+		}
+		if won != nil {
+			continue
+		}
+		if reason := r.failed(ctx, failure); reason != "" {
+			return nil, r.lost(reason)
+		}
+	}
+}
+
+func (r *run) acquire(ctx context.Context) outcome.Refusal {
+	if r.call.Claim == nil {
+		return outcome.Refusal{}
+	}
+	return r.call.Claim.Acquire(ctx)
+}
+
+// ended says why no attempt may start any more, or "".
+func (r *run) ended(ctx context.Context) outcome.Reason {
+	if !time.Now().Before(r.call.Deadline) {
+		return outcome.DeadlinePassed
+	}
+	if ctx.Err() != nil {
+		return outcome.CallerGone
+	}
+	return ""
+}
+
+// lost says truthfully what became of a call without an answer.
+func (r *run) lost(reason outcome.Reason) *Lost {
+	if r.mayHaveRun {
+		return &Lost{Outcome: outcome.Unknown, Reason: unknownReason(reason, r.last), Spent: r.allowance.Spent()}
+	}
+	if r.call.Claim != nil {
+		r.call.Claim.Release()
+	}
+	return &Lost{Outcome: outcome.NotRun, Reason: reason, Spent: r.allowance.Spent()}
+}
+
+func unknownReason(reason, last outcome.Reason) outcome.Reason {
+	switch {
+	case reason == outcome.CallerGone:
+		return outcome.CallerGoneSent
+	case last != "":
+		return last
+	default:
+		return outcome.AnswerLost
+	}
+}
+
+// without decides what to do when no target takes an attempt: wait a little, or
+// give up for the returned reason.
+func (r *run) without(ctx context.Context, none target.None) outcome.Reason {
+	switch {
+	case none == target.NoneKnown:
+		return outcome.NoTarget
+	case none == target.NoneWarm:
+		return r.waitRound(ctx, outcome.OnlyColdTargets)
+	default:
+		return r.waitRound(ctx, outcome.TargetsRefused)
+	}
+}
+
+// waitRound pauses between rounds of attempts while the profile's patience
+// lasts, and returns the given reason when it is over.
+func (r *run) waitRound(ctx context.Context, reason outcome.Reason) outcome.Reason {
+	if r.pause == 0 {
+		r.pause = pauseLow
+	}
+	d := r.pause/2 + rand.N(r.pause)
+	r.pause = min(2*r.pause, pauseHigh)
+	until := time.Now().Add(d)
+	if until.Sub(r.arrived) > r.call.Profile.QueueWait || until.After(r.call.Deadline) {
+		return reason
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	r.avoid = r.avoid[:0]
+	r.tries = 0
+	return ""
+}
+
+// failed decides what follows a failed attempt: another one (""), or the end
+// for the returned reason.
+func (r *run) failed(ctx context.Context, f *Failure) outcome.Reason {
+	if ctx.Err() != nil {
+		return outcome.CallerGone
+	}
+	if r.claimLapsed {
+		return outcome.ClaimLapsed
+	}
+	switch f.Result {
+	case target.Refused:
+		return r.afterRefusal(ctx)
+	case target.ConnectFailed:
+		return r.afterConnectFailure(f)
+	case target.TimedOut:
+		return r.afterLoss(outcome.AttemptTimeout, outcome.RetryAttemptTimeout, f)
+	default:
+		return r.afterLoss(outcome.AnswerLost, outcome.RetryAnswerLost, f)
+	}
+}
+
+// tryFailedAgain drops the answer of a target that failed (5xx) in favour of
+// another attempt, if the call can bear one.
+func (r *run) tryFailedAgain(won *Won) bool {
+	if !won.Answer.Failed() || !r.call.Profile.Idempotent || !r.mayTryAgain() {
+		return false
+	}
+	r.d.further(outcome.RetryServerFailed)
+	r.mayHaveRun = true
+	won.Answer.Discard()
+	won.end()
+	r.svc.Table.Finish(won.place, time.Now(), target.ServerFailed, won.Answer.Report())
+	r.avoid = append(r.avoid, won.place.Ref.ID)
+	return true
+}
+
+func (r *run) afterRefusal(ctx context.Context) outcome.Reason {
+	r.svc.Gate.Shrink(time.Now())
+	if !r.call.Replayable {
+		r.d.further(outcome.ForgoneBodyGone)
+		return outcome.TargetsRefused
+	}
+	r.d.further(outcome.RetryTargetRefused)
+	r.tries++
+	if r.tries < triesPerRound {
+		return ""
+	}
+	return r.waitRound(ctx, outcome.TargetsRefused)
+}
+
+func (r *run) afterConnectFailure(f *Failure) outcome.Reason {
+	if f.BodyGone {
+		r.d.further(outcome.ForgoneBodyGone)
+		return outcome.ConnectFailed
+	}
+	r.connectFailures++
+	if r.connectFailures >= maxConnectFailures {
+		return outcome.ConnectFailed
+	}
+	r.d.further(outcome.RetryConnectFailed)
+	return ""
+}
+
+// afterLoss follows an attempt whose answer was lost. If nothing was written
+// the call may be tried again freely.
+func (r *run) afterLoss(reason outcome.Reason, why outcome.RetryReason, f *Failure) outcome.Reason {
+	r.last = reason
+	if !f.Written {
+		return r.afterConnectFailure(f)
+	}
+	if !r.mayTryAgain() {
+		return reason
+	}
+	r.d.further(why)
+	return ""
+}
+
+// mayTryAgain spends what a further attempt after a possible run costs.
+func (r *run) mayTryAgain() bool {
+	switch {
+	case !r.call.Profile.Idempotent:
+		r.d.further(outcome.ForgoneNotSafe)
+	case !r.call.Replayable:
+		r.d.further(outcome.ForgoneBodyGone)
+	case !time.Now().Before(r.call.Deadline):
+		r.d.further(outcome.ForgoneDeadline)
+	case r.allowance.Left() < 1:
+		r.d.further(outcome.ForgoneNoAllowance)
+	case !r.svc.Retries.Spend():
+		r.d.further(outcome.ForgoneNoTokens)
+	default:
+		return r.allowance.Take()
+	}
+	return false
+}
+
+// noteSent books what an attempt may have done at its target.
+func (r *run) noteSent(f *Failure) {
+	if !f.Written || f.Result == target.Refused {
+		return
+	}
+	r.mayHaveRun = true
+	r.sends++
+	if !r.call.Profile.Idempotent {
+		r.d.Checks.Hold(r.sends <= 1, invariant.SendOnce)
+	}
+}
--- /dev/null
+++ b/entry/reply.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/apricotmount/apricotmount/dispatch"
+	"github.com/apricotmount/apricotmount/outcome"
+	"github.com/apricotmount/apricotmount/target"
+	"github.com/apricotmount/apricotmount/wire"
+)
+
+// copySize is the size of the buffers that bodies are copied with, in bytes.
+const copySize = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copySize]byte) }}
+
+// Reply is a target's answer on its connection; it is a dispatch.Answer.
+type Reply struct {
+	conn   *wire.Conn
+	resp   *http.Response
+	report target.Report
+	spent  int
+	once   sync.Once
+}
+
+// Failed reports whether the target says that it failed.
+func (r *Reply) Failed() bool {
+	return r.resp.StatusCode >= http.StatusInternalServerError
+}
+
+// Report is the load stated on the answer.
+func (r *Reply) Report() target.Report { return r.report }
+
+// Spent is how many further attempts the layers below made.
+func (r *Reply) Spent() int { return r.spent }
+
+// Discard ends the answer unread; a short rest is read so that the connection
+// can be used again.
+func (r *Reply) Discard() {
+	r.once.Do(func() {
+		n, err := io.CopyN(io.Discard, r.resp.Body, copySize)
+		r.resp.Body.Close()
+		r.conn.Release(err == io.EOF && n < copySize && !r.resp.Close)
+	})
+}
+
+// release gives the connection back after the body; whole says it was read to
+// its end.
+func (r *Reply) release(whole bool) {
+	r.once.Do(func() {
+		r.resp.Body.Close()
+		r.conn.Release(whole && !r.resp.Close)
+	})
+}
+
+// framed reports whether the end of the body can be told from a broken
+// connection.
+func (r *Reply) framed(method string) bool {
+	resp := r.resp
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || method == http.MethodHead {
+		return true
+	}
+	return resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+}
+
+// reply passes a target's answer to the caller. If it breaks off, the caller's
+// connection is aborted.
+func (h *Handler) reply(w http.ResponseWriter, in *http.Request, won *dispatch.Won, arrived time.Time) {
+	r := won.Answer.(*Reply)
+	if !r.framed(in.Method) {
+		r.release(false)
+		won.Finish(target.Broken)
+		h.refuse(w, &dispatch.Lost{Outcome: outcome.Unknown, Reason: outcome.AnswerUnframed, Spent: won.Spent})
+		return
+	}
+	h.writeHeader(w, r, won)
+	err := copyBody(w, r.resp)
+	if err == nil {
+		copyTrailer(w.Header(), r.resp)
+	}
+	r.release(err == nil)
+	if err != nil {
+		result := target.Broken
+		if in.Context().Err() != nil || err.callerSide {
+			result = target.Cancelled
+		}
+		won.Finish(result)
+		h.Counts.Unknown(outcome.AnswerLost)
+		panic(http.ErrAbortHandler)
+	}
+	won.Finish(target.Answered)
+	h.Counts.Done(time.Since(arrived), won.Waited)
+}
+
+func (h *Handler) writeHeader(w http.ResponseWriter, r *Reply, won *dispatch.Won) {
+	header := w.Header()
+	closing := header.Get("Connection")
+	from := r.resp.Header
+	stripHopByHop(from)
+	h.protocol().Strip(from)
+	for name, values := range from {
+		header[name] = values
+	}
+	if closing != "" {
+		header.Set("Connection", closing)
+	}
+	for name := range r.resp.Trailer {
+		header.Add("Trailer", name)
+	}
+	header.Set(HeaderOutcome, string(outcome.Done))
+	header.Set(HeaderSpent, strconv.Itoa(won.Spent))
+	header.Set(HeaderWaited, strconv.FormatInt(won.Waited.Microseconds(), 10))
+	w.WriteHeader(r.resp.StatusCode)
+}
+
+// copyError says which side ended a copy.
+type copyError struct {
+	cause      error
+	callerSide bool
+}
+
+// copyBody streams a body; what has come is passed on at once when its length
+// is not known.
+func copyBody(w http.ResponseWriter, resp *http.Response) *copyError {
+	buf := copyBuffers.Get().(*[copySize]byte)
+	defer copyBuffers.Put(buf)
+	flusher, _ := w.(http.Flusher)
+	for {
+		n, readErr := resp.Body.Read(buf[:])
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil {
+				return &copyError{cause: err, callerSide: true}
+			}
+			if resp.ContentLength < 0 && flusher != nil {
+				flusher.Flush()
+			}
+		}
+		if readErr == io.EOF {
+			return nil
+		}
+		if readErr != nil {
+			return &copyError{cause: readErr}
+		}
+	}
+}
+
+func copyTrailer(h http.Header, resp *http.Response) {
+	for name, values := range resp.Trailer {
+		for _, v := range values {
+			h.Add(name, v)
+		}
+	}
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,132 @@
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/apricotmount/apricotmount/invariant"
+	"github.com/apricotmount/apricotmount/outcome"
+)
+
+// reportInterval is how often tally hands its values to the scraper's registry.
+const reportInterval = time.Second
+
+// Registry holds the metrics of one process.
+type Registry struct {
+	Scope   tally.Scope
+	handler http.Handler
+	closer  io.Closer
+}
+
+// NewRegistry returns a registry whose metrics carry the prefix "apricotmount".
+func NewRegistry() *Registry {
+	reg := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer:      reg,
+		Gatherer:        reg,
+		OnRegisterError: func(error) {},
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "apricotmount",
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Registry{Scope: scope, handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// Discard returns a registry that keeps nothing, for tests and trials.
+func Discard() *Registry {
+	return &Registry{Scope: tally.NoopScope, handler: http.NotFoundHandler()}
+}
+
+// Handler serves the metrics as text.
+func (r *Registry) Handler() http.Handler {
+	return r.handler
+}
+
+// Close ends the reporting.
+func (r *Registry) Close() error {
+	if r.closer == nil {
+		return nil
+	}
+	return r.closer.Close()
+}
+
+// Calls counts what became of calls and attempts; every reason has a counter
+// from the start, so that a scraper sees zeros.
+type Calls struct {
+	done    tally.Counter
+	notRun  map[outcome.Reason]tally.Counter
+	unknown map[outcome.Reason]tally.Counter
+	retries map[outcome.RetryReason]tally.Counter
+	latency tally.Histogram
+	added   tally.Histogram
+}
+
+// NewCalls returns the call counters of a scope.
+func NewCalls(scope tally.Scope) *Calls {
+	buckets := tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 18)
+	return &Calls{
+		done:    scope.Counter("calls_done"),
+		notRun:  byReason(scope, "calls_not_run", outcome.NotRunReasons),
+		unknown: byReason(scope, "calls_unknown", outcome.UnknownReasons),
+		retries: byReason(scope, "attempts_further", outcome.RetryReasons),
+		latency: scope.Histogram("call_seconds", buckets),
+		added:   scope.Histogram("added_seconds", buckets),
+	}
+}
+
+func byReason[R ~string](scope tally.Scope, name string, reasons []R) map[R]tally.Counter {
+	m := make(map[R]tally.Counter, len(reasons))
+	for _, r := range reasons {
+		c := scope.Tagged(map[string]string{"reason": string(r)}).Counter(name)
+		c.Inc(0)
+		m[r] = c
+	}
+	return m
+}
+
+// Done counts a call that was answered whole.
+func (c *Calls) Done(took, added time.Duration) {
+	c.done.Inc(1)
+	c.latency.RecordDuration(took)
+	c.added.RecordDuration(added)
+}
+
+// NotRun counts a refusal.
+func (c *Calls) NotRun(r outcome.Reason) {
+	inc(c.notRun, r)
+}
+
+// Unknown counts a call whose outcome is unknown.
+func (c *Calls) Unknown(r outcome.Reason) {
+	inc(c.unknown, r)
+}
+
+// Further counts a further attempt, or one forgone.
+func (c *Calls) Further(r outcome.RetryReason) {
+	inc(c.retries, r)
+}
+
+func inc[R ~string](m map[R]tally.Counter, r R) {
+	if counter, ok := m[r]; ok {
+		counter.Inc(1)
+	}
+}
+
+// WatchInvariants returns counters of broken promises, one per promise.
+func WatchInvariants(scope tally.Scope) func(n invariant.Name) {
+	counters := make([]tally.Counter, invariant.Names)
+	for n := range invariant.Names {
+		counters[n] = scope.Tagged(map[string]string{"promise": n.String()}).Counter("promises_broken")
+		counters[n].Inc(0)
+	}
+	return func(n invariant.Name) { counters[n].Inc(1) }
+}
--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/apricotmount/apricotmount/codec"
+	"github.com/apricotmount/apricotmount/member"
+	"github.com/apricotmount/apricotmount/service"
+	"github.com/apricotmount/apricotmount/target"
+	"github.com/apricotmount/apricotmount/vm"
+	"github.com/apricotmount/apricotmount/zone"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// maxMessageBytes bounds a message before it is decoded.
+	maxMessageBytes = 2 << 20
+	// maxWords and maxEntries bound what one message may carry.
+	maxWords   = 1024
+	maxEntries = 4096
+)
+
+// Word is what a node saw of a target lately.
+type Word struct {
+	Service  service.Name    `cbor:"1,keyasint"`
+	ID       vm.ID           `cbor:"2,keyasint"`
+	Instance target.Instance `cbor:"3,keyasint"`
+	State    target.State    `cbor:"4,keyasint"`
+	// Age is how long ago it was seen, in milliseconds.
+	Age uint32 `cbor:"5,keyasint"`
+}
+
+// Withdrawal is an operator's temporary withdrawal of an availability zone,
+// which spreads between nodes while the log is away. It can only take work
+// away, and ends by itself.
+type Withdrawal struct {
+	Zone zone.Name `cbor:"1,keyasint"`
+	// ID names the withdrawal, so that its end can be told from another one.
+	ID string `cbor:"2,keyasint"`
+	// Left is how long it was still to last, in milliseconds.
+	Left uint32 `cbor:"3,keyasint"`
+	// Ended says that an operator ended it before its time.
+	Ended bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Message is all that nodes say to each other; unknown fields of newer versions
+// are passed over.
+type Message struct {
+	Entries     []member.Entry `cbor:"1,keyasint,omitempty"`
+	Words       []Word         `cbor:"2,keyasint,omitempty"`
+	WantConfig  bool           `cbor:"3,keyasint,omitempty"`
+	Config      []byte         `cbor:"4,keyasint,omitempty"`
+	Withdrawals []Withdrawal   `cbor:"5,keyasint,omitempty"`
+}
+
+// Encode returns the message as bytes.
+func (m Message) Encode() []byte {
+	return codec.Encode(m)
+}
+
+// Decode reads a message and checks its bounds.
+func Decode(b []byte) (m Message, err error) {
+	defer func() { err = eris.Wrap(err, "decode a peer message") }()
+	if len(b) > maxMessageBytes {
+		return Message{}, eris.Errorf("%d bytes are too many", len(b))
+	}
+	if err := codec.Decode(b, &m); err != nil {
+		return Message{}, err
+	}
+	if len(m.Words) > maxWords || len(m.Entries) > maxEntries || len(m.Withdrawals) > maxWords {
+		return Message{}, eris.New("a list is too long")
+	}
+	return m, nil
+}
+
+// AgeOf returns a duration as the age of a word.
+func AgeOf(d time.Duration) uint32 {
+	return uint32(min(max(d, 0)/time.Millisecond, 1<<31))
+}
--- /dev/null
+++ b/profile/document.go
@@ -0,0 +1,143 @@
+package profile
+
+import (
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apricotmount/apricotmount/unit"
+)
+
+// Document is a profile as people write it.
+type Document struct {
+	Name            Name    `json:"name" yaml:"name"`
+	Urgency         string  `json:"urgency,omitempty" yaml:"urgency,omitempty"`
+	Idempotent      bool    `json:"idempotent,omitempty" yaml:"idempotent,omitempty"`
+	Deadline        string  `json:"deadline,omitempty" yaml:"deadline,omitempty"`
+	AttemptTimeout  string  `json:"attempt-timeout,omitempty" yaml:"attempt-timeout,omitempty"`
+	QueueWait       string  `json:"queue-wait,omitempty" yaml:"queue-wait,omitempty"`
+	Retries         *int    `json:"retries,omitempty" yaml:"retries,omitempty"`
+	Hedge           bool    `json:"hedge,omitempty" yaml:"hedge,omitempty"`
+	HedgePercentile float64 `json:"hedge-percentile,omitempty" yaml:"hedge-percentile,omitempty"`
+	KeyWindow       string  `json:"key-window,omitempty" yaml:"key-window,omitempty"`
+	RequireKey      bool    `json:"require-key,omitempty" yaml:"require-key,omitempty"`
+}
+
+// Defaults and bounds of a profile's values.
+const (
+	DefaultDeadline        = 2 * time.Second
+	DefaultQueueWait       = 200 * time.Millisecond
+	DefaultRetries         = 2
+	DefaultHedgePercentile = 95
+	maxDeadline            = time.Hour
+	maxRetries             = 5
+	minHedgePercentile     = 50
+	maxHedgePercentile     = 99.9
+	minKeyWindow           = time.Minute
+	maxKeyWindow           = 7 * 24 * time.Hour
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// ValidName reports whether text is kebab case of at most 63 characters.
+func ValidName(text string) bool {
+	return namePattern.MatchString(text)
+}
+
+// Parse checks a document whole and returns the profile it describes; the
+// error is a fault.List that names each field at fault.
+func Parse(doc Document) (p Profile, err error) {
+	var r unit.Reader
+	if !ValidName(string(doc.Name)) {
+		r.Faults.Add("name", "%q is not kebab case of 1 to 63 characters", doc.Name)
+	}
+	p = Profile{
+		Name:            doc.Name,
+		Urgency:         parseUrgency(&r, doc.Urgency),
+		Idempotent:      doc.Idempotent,
+		Deadline:        r.Duration("deadline", doc.Deadline, DefaultDeadline),
+		QueueWait:       r.Duration("queue-wait", doc.QueueWait, DefaultQueueWait),
+		Hedge:           doc.Hedge,
+		HedgePercentile: doc.HedgePercentile,
+		KeyWindow:       r.Duration("key-window", doc.KeyWindow, 0),
+		RequireKey:      doc.RequireKey,
+	}
+	r.Within("deadline", p.Deadline, time.Millisecond, maxDeadline)
+	p.AttemptTimeout = r.Duration("attempt-timeout", doc.AttemptTimeout, p.Deadline)
+	r.Within("attempt-timeout", p.AttemptTimeout, time.Millisecond, p.Deadline)
+	r.Within("queue-wait", p.QueueWait, 0, p.Deadline)
+	p.Retries = parseRetries(&r, doc)
+	parseHedge(&r, &p)
+	parseKey(&r, &p)
+	return p, r.Faults.Err()
+}
+
+func parseUrgency(r *unit.Reader, text string) Urgency {
+	if text == "" {
+		return Normal
+	}
+	i := slices.Index(urgencyNames[:], text)
+	if i < 0 {
+		r.Faults.Add("urgency", "%q is not one of %s", text, strings.Join(urgencyNames[:], ", "))
+		return Normal
+	}
+	return Urgency(i)
+}
+
+func parseRetries(r *unit.Reader, doc Document) int {
+	if doc.Retries == nil {
+		if doc.Idempotent {
+			return DefaultRetries
+		}
+		return 0
+	}
+	n := *doc.Retries
+	r.IntWithin("retries", n, 0, maxRetries)
+	if n > 0 && !doc.Idempotent {
+		r.Faults.Add("retries", "%d on a profile that is not idempotent; a retry could run the call twice", n)
+	}
+	return n
+}
+
+func parseHedge(r *unit.Reader, p *Profile) {
+	if p.HedgePercentile == 0 {
+		p.HedgePercentile = DefaultHedgePercentile
+	}
+	if p.HedgePercentile < minHedgePercentile || p.HedgePercentile > maxHedgePercentile {
+		r.Faults.Add("hedge-percentile", "%g lies outside %d to %g", p.HedgePercentile, minHedgePercentile, maxHedgePercentile)
+	}
+	if p.Hedge && !p.Idempotent {
+		r.Faults.Add("hedge", "true on a profile that is not idempotent; a hedge could run the call twice")
+	}
+}
+
+func parseKey(r *unit.Reader, p *Profile) {
+	if p.KeyWindow != 0 {
+		r.Within("key-window", p.KeyWindow, minKeyWindow, maxKeyWindow)
+	}
+	if p.KeyWindow != 0 && p.Idempotent {
+		r.Faults.Add("key-window", "set on an idempotent profile; keys guard only calls that must not run twice")
+	}
+	if p.RequireKey && p.KeyWindow == 0 {
+		r.Faults.Add("require-key", "true without a key-window")
+	}
+}
+
+// Written returns the profile as a document that Parse accepts.
+func (p *Profile) Written() Document {
+	n := p.Retries
+	return Document{
+		Name:            p.Name,
+		Urgency:         p.Urgency.String(),
+		Idempotent:      p.Idempotent,
+		Deadline:        unit.Format(p.Deadline),
+		AttemptTimeout:  unit.Format(p.AttemptTimeout),
+		QueueWait:       p.QueueWait.String(),
+		Retries:         &n,
+		Hedge:           p.Hedge,
+		HedgePercentile: p.HedgePercentile,
+		KeyWindow:       unit.Format(p.KeyWindow),
+		RequireKey:      p.RequireKey,
+	}
+}
--- /dev/null
+++ b/target/choice.go
@@ -0,0 +1,185 @@
+package target
+
+import (
+	"slices"
+	"time"
+
+	"github.com/apricotmount/apricotmount/invariant"
+	"github.com/apricotmount/apricotmount/routing"
+	"github.com/apricotmount/apricotmount/vm"
+)
+
+// Place is one open attempt at a target; every Place must be given to Finish
+// once.
+type Place struct {
+	Ref Ref
+	// Cold says that the target is in cold start and that the attempt must end
+	// before Until.
+	Cold  bool
+	Until time.Time
+	// Free says that the target seemed to have a slot free.
+	Free    bool
+	Started time.Time
+
+	entry    *entry
+	instance Instance
+}
+
+// None says why no target takes an attempt.
+type None uint8
+
+// The reasons why no target takes an attempt.
+const (
+	// Found: there is one.
+	Found None = iota
+	// NoneKnown: the service has no target that takes work.
+	NoneKnown
+	// NoneWarm: all that take work are cold and not this node's to use, or full.
+	NoneWarm
+	// NoneOther: all that take work were to be avoided or have enough of this
+	// node's attempts.
+	NoneOther
+)
+
+// Pick chooses a target for an attempt and opens it there. Targets in avoid
+// are passed over; with freeOnly so are those that seem to have no slot free.
+func (t *Table) Pick(now time.Time, avoid []vm.ID, freeOnly bool) (p Place, none None) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	none = t.gather(now, avoid)
+	if none != Found {
+		return Place{}, none
+	}
+	i := t.settings.Chooser.Choose(t.candidates, t.rng)
+	if freeOnly && !t.candidates[i].Free() {
+		return Place{}, NoneOther
+	}
+	return t.open(t.eligible[i], t.candidates[i].Free(), now)
+}
+
+// gather fills the candidates of a choice. The lock must be held.
+func (t *Table) gather(now time.Time, avoid []vm.ID) None {
+	t.candidates = t.candidates[:0]
+	t.eligible = t.eligible[:0]
+	none := NoneKnown
+	for _, e := range t.entries {
+		if !e.takesWork() || now.Before(e.ejectedUntil) {
+			continue
+		}
+		if e.state == Cold && !t.mayUseCold(e, now) {
+			none = max(none, NoneWarm)
+			continue
+		}
+		if !t.hasRoom(e) || slices.Contains(avoid, e.ref.ID) {
+			none = NoneOther
+			continue
+		}
+		t.candidates = append(t.candidates, t.candidate(e, now))
+		t.eligible = append(t.eligible, e)
+	}
+	if len(t.candidates) > 0 {
+		return Found
+	}
+	return none
+}
+
+func (t *Table) candidate(e *entry, now time.Time) routing.Candidate {
+	slots := t.svc.Slots
+	if e.state == Cold {
+		slots = t.svc.ColdSlots
+	}
+	return routing.Candidate{
+		Own:      len(e.starts),
+		Others:   t.othersAt(e, now),
+		Slots:    max(1, slots),
+		SameZone: e.ref.Zone == t.settings.Zone,
+		Slowness: t.slowness(e, now),
+	}
+}
+
+func (t *Table) mayUseCold(e *entry, now time.Time) bool {
+	_, ok := t.settings.Rights.Until(e.ref.ID, now)
+	return ok
+}
+
+// hasRoom bounds what this node has open at one target: its slots, its cold
+// slots in cold start, one during a trial.
+func (t *Table) hasRoom(e *entry) bool {
+	limit := max(1, t.svc.Slots)
+	if e.state == Cold {
+		limit = t.svc.ColdSlots
+	}
+	if e.trial > 0 || e.state == Unverified {
+		limit = 1
+	}
+	return len(e.starts) < limit
+}
+
+func (t *Table) open(e *entry, free bool, now time.Time) (p Place, none None) {
+	p = Place{Ref: e.ref, Free: free, Started: now, entry: e, instance: e.instance}
+	if e.state == Cold {
+		end, ok := t.settings.Rights.Until(e.ref.ID, now)
+		if !ok {
+			return Place{}, NoneWarm
+		}
+		p.Cold, p.Until = true, end
+	}
+	e.starts = append(e.starts, now)
+	if p.Cold {
+		t.settings.Checks.Hold(len(e.starts) <= t.svc.ColdSlots, invariant.ColdWithinLimit)
+	}
+	t.settings.Checks.Hold(!e.withdrawn, invariant.NoWorkOutOfService)
+	return p, Found
+}
+
+// StillOpen reports whether the target of a place may still be sent to at this
+// instant; it is asked right before the first byte is written.
+func (t *Table) StillOpen(p Place, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := p.entry
+	if !e.takesWork() {
+		return false
+	}
+	if e.state != Cold {
+		return true
+	}
+	// What was picked as warm and has turned cold since is not sent.
+	return p.Cold && now.Before(p.Until) && p.instance == e.instance
+}
+
+// othersAt is the estimate of other nodes' open attempts: the last report while
+// it is fresh, the service's average as it grows old.
+func (t *Table) othersAt(e *entry, now time.Time) float64 {
+	if e.othersAt.IsZero() {
+		return t.others
+	}
+	weight := 1 - float64(now.Sub(e.othersAt))/float64(othersLifetime)
+	weight = min(max(weight, 0), 1)
+	return e.others*weight + t.others*(1-weight)
+}
+
+// slowness is how many times slower than its like a target is, by finished
+// calls, by calls still open and by failures.
+func (t *Table) slowness(e *entry, now time.Time) float64 {
+	slow := 1.0
+	if t.latency > 0 && e.latency > 0 {
+		slow = max(slow, e.latency/t.latency)
+	}
+	if t.latency > 0 && len(e.starts) > 0 {
+		slow = max(slow, t.openAge(e, now)/(openPatience*t.latency))
+	}
+	if excess := e.failures - t.failures; excess > 0 {
+		slow = max(slow, 1+failurePenalty*excess)
+	}
+	return min(slow, maxSlowness)
+}
+
+// openAge is the mean age of the open attempts, in seconds.
+func (t *Table) openAge(e *entry, now time.Time) float64 {
+	var sum time.Duration
+	for _, s := range e.starts {
+		sum += now.Sub(s)
+	}
+	return sum.Seconds() / float64(len(e.starts))
+}
--- /dev/null
+++ b/target/evidence.go
@@ -0,0 +1,248 @@
+package target
+
+import (
+	"time"
+
+	"github.com/apricotmount/apricotmount/vm"
+)
+
+// Finish ends an attempt and takes what it taught: how it ended and the report
+// its answer carried.
+func (t *Table) Finish(p Place, now time.Time, result Result, report Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := p.entry
+	ownBefore := len(e.starts)
+	removeStart(e, p.Started)
+	t.takeReport(e, now, report, ownBefore)
+	if e.instance != p.instance && p.instance != "" {
+		// The attempt went to an older process; it says nothing of this one.
+		return
+	}
+	switch result {
+	case Answered:
+		t.succeeded(e, now, now.Sub(p.Started))
+	case ServerFailed:
+		t.failed(e, now)
+		e.lastAnswer = now
+	case Refused:
+		t.refused(e, now, report)
+	case ConnectFailed, Broken, TimedOut:
+		t.failed(e, now)
+	case Cancelled:
+		// It was open for that long without an answer, which is evidence of
+		// slowness only if that is longer than usual.
+		t.atLeast(e, now.Sub(p.Started))
+	}
+}
+
+func removeStart(e *entry, started time.Time) {
+	for i, s := range e.starts {
+		if s.Equal(started) {
+			last := len(e.starts) - 1
+			e.starts[i] = e.starts[last]
+			e.starts = e.starts[:last]
+			return
+		}
+	}
+}
+
+func (t *Table) succeeded(e *entry, now time.Time, took time.Duration) {
+	e.lastAnswer = now
+	e.served++
+	e.consecutive = 0
+	e.latency = average(e.latency, took.Seconds())
+	t.latency = average(t.latency, took.Seconds())
+	e.failures += latencyWeight * (0 - e.failures)
+	t.failures += latencyWeight * (0 - t.failures)
+	if e.trial > 0 {
+		e.trial--
+	}
+	if e.trial == 0 {
+		e.ejections = 0
+	}
+}
+
+func (t *Table) atLeast(e *entry, took time.Duration) {
+	if took.Seconds() > e.latency {
+		e.latency = average(e.latency, took.Seconds())
+	}
+}
+
+func (t *Table) failed(e *entry, now time.Time) {
+	e.consecutive++
+	e.failures += latencyWeight * (1 - e.failures)
+	t.failures += latencyWeight * (1 - t.failures)
+	if e.consecutive >= ejectAfter {
+		t.eject(e, now)
+	}
+}
+
+// eject takes a bad target out for a while. If as many as half would be out,
+// the reports are doubted and the target stays in use. The lock must be held.
+func (t *Table) eject(e *entry, now time.Time) {
+	if now.Before(e.ejectedUntil) {
+		return
+	}
+	out, usable := 1, 0
+	for _, other := range t.entries {
+		if !other.takesWork() {
+			continue
+		}
+		usable++
+		if other != e && now.Before(other.ejectedUntil) {
+			out++
+		}
+	}
+	if 2*out > usable {
+		t.note(e, NoteDoubted)
+		return
+	}
+	period := min(ejectBase<<min(e.ejections, 5), ejectMax)
+	// The jitter keeps the nodes from returning together.
+	period += time.Duration(t.rng.Int64N(int64(period)))
+	e.ejections++
+	e.ejectedUntil = now.Add(period)
+	e.trial = trialAnswers
+	t.note(e, NoteEjected)
+}
+
+// refused takes a truthful refusal: the target is full now.
+func (t *Table) refused(e *entry, now time.Time, report Report) {
+	e.lastAnswer = now
+	if report.Known {
+		return
+	}
+	e.others = max(e.others, float64(t.svc.Slots-len(e.starts)))
+	e.othersAt = now
+}
+
+// takeReport takes the load on an answer. The lock must be held.
+func (t *Table) takeReport(e *entry, now time.Time, r Report, own int) {
+	if !r.Known || e.isPast(r.Instance) {
+		return
+	}
+	if r.Instance != e.instance {
+		t.changeInstance(e, r.Instance, now)
+	}
+	t.setState(e, t.reportedState(e, r, now), now)
+	e.others = max(0, float64(r.InFlight-own))
+	e.othersAt = now
+	t.others = average(t.others, e.others)
+}
+
+func (t *Table) changeInstance(e *entry, i Instance, now time.Time) {
+	first := e.instance == ""
+	e.replaceInstance(i, now)
+	if !first {
+		t.note(e, NoteInstance)
+	}
+}
+
+// reportedState is the state after a report. A target that does not tell is
+// cold for the service's cold period after a change of instance.
+func (t *Table) reportedState(e *entry, r Report, now time.Time) State {
+	if r.State != Unverified {
+		return r.State
+	}
+	if e.state == Cold && now.Sub(e.coldSince) < t.svc.ColdPeriod {
+		return Cold
+	}
+	return Live
+}
+
+func (t *Table) setState(e *entry, s State, now time.Time) {
+	if e.state == s {
+		return
+	}
+	if s == Cold {
+		e.coldSince = now
+	}
+	e.state = s
+	t.note(e, NoteState)
+}
+
+// Probed takes the report of a probe, or of a connection that was verified
+// before it carried work.
+func (t *Table) Probed(id vm.ID, now time.Time, r Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.find(id)
+	if e == nil {
+		return
+	}
+	e.lastProbe = now
+	if !r.Known {
+		return
+	}
+	e.lastAnswer = now
+	t.takeReport(e, now, r, len(e.starts))
+}
+
+// Suspect notes that a target's connections broke: its process may have been
+// replaced. Until it is verified again it takes one attempt at a time.
+func (t *Table) Suspect(id vm.ID, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.find(id); e != nil && e.state == Live {
+		t.setState(e, Unverified, now)
+	}
+}
+
+// Word is what a peer says of a target's instance.
+type Word struct {
+	ID       vm.ID
+	Instance Instance
+	State    State
+}
+
+// Hear takes a peer's word. It moves a target between live, cold, draining and
+// leaving only for the instance this node knows, or for one it has not seen
+// before; it never revives what this node saw more recently itself.
+func (t *Table) Hear(now time.Time, w Word, age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.find(w.ID)
+	if e == nil || w.Instance == "" || e.isPast(w.Instance) || w.State == Unverified {
+		return
+	}
+	if now.Add(-age).Before(e.lastAnswer) {
+		return
+	}
+	e.lastProbe = now
+	if w.Instance != e.instance {
+		t.changeInstance(e, w.Instance, now)
+	}
+	t.setState(e, w.State, now)
+}
+
+// ProbeWanted returns a target about which answers leave something unknown:
+// one that is not live and has not been probed for the given time.
+func (t *Table) ProbeWanted(now time.Time, every time.Duration) (ref Ref, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var oldest *entry
+	for _, e := range t.entries {
+		if e.withdrawn || e.state == Live && now.After(e.ejectedUntil) {
+			continue
+		}
+		if now.Sub(e.lastProbe) < every {
+			continue
+		}
+		if oldest == nil || e.lastProbe.Before(oldest.lastProbe) {
+			oldest = e
+		}
+	}
+	if oldest == nil {
+		return Ref{}, false
+	}
+	oldest.lastProbe = now
+	return oldest.ref, true
+}
+
+func average(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + latencyWeight*(sample-old)
+}
--- /dev/null
+++ b/target/state.go
@@ -0,0 +1,165 @@
+package target
+
+import (
+	"time"
+
+	"github.com/apricotmount/apricotmount/service"
+	"github.com/apricotmount/apricotmount/vm"
+	"github.com/apricotmount/apricotmount/zone"
+)
+
+// State is what a target is believed to be doing.
+type State uint8
+
+// The states of a target.
+const (
+	// Unverified: nothing has been heard from the target itself yet.
+	Unverified State = iota
+	// Live: it serves at full strength.
+	Live
+	// Cold: it has just started and can bear only its cold slots.
+	Cold
+	// Draining: it finishes what it has and takes no new work.
+	Draining
+	// Leaving: it is about to go away and takes no new work.
+	Leaving
+)
+
+var stateNames = []string{"unverified", "live", "cold", "draining", "leaving"}
+
+// String returns the state's name.
+func (s State) String() string {
+	if int(s) >= len(stateNames) {
+		return "invalid"
+	}
+	return stateNames[s]
+}
+
+// ParseState returns the state of a written name, or Unverified.
+func ParseState(text string) State {
+	for i, name := range stateNames {
+		if name == text {
+			return State(i)
+		}
+	}
+	return Unverified
+}
+
+// Instance is the name that a target's process gives itself; empty if the
+// platform's targets do not tell.
+type Instance string
+
+// Report is the load that a target states on an answer or a probe.
+type Report struct {
+	// Known says that there was a report at all.
+	Known    bool
+	Instance Instance
+	State    State
+	// InFlight is how many calls were open at the target, this one included.
+	InFlight int
+}
+
+// Result is how an attempt ended.
+type Result uint8
+
+// The results of attempts.
+const (
+	// Answered: the target answered whole.
+	Answered Result = iota
+	// ServerFailed: the target answered that it failed (5xx).
+	ServerFailed
+	// Refused: the target refused before it started.
+	Refused
+	// ConnectFailed: no connection could be had; nothing was written.
+	ConnectFailed
+	// Broken: the connection broke before the answer was whole.
+	Broken
+	// TimedOut: no answer came in time.
+	TimedOut
+	// Cancelled: this node ended the attempt, as a hedge's loser or for a
+	// caller that went away.
+	Cancelled
+)
+
+// Ref names one target.
+type Ref struct {
+	ID      vm.ID
+	Service service.Name
+	Address vm.Address
+	Zone    zone.Name
+}
+
+// Rights tells whether this node may send to a target in cold start.
+type Rights interface {
+	// Until returns the end of the node's right to a target's cold slots; ok is
+	// false if it has none at this instant.
+	Until(id vm.ID, now time.Time) (end time.Time, ok bool)
+}
+
+// noRights grants nothing.
+type noRights struct{}
+
+func (noRights) Until(vm.ID, time.Time) (time.Time, bool) { return time.Time{}, false }
+
+// entry is what a table holds of one target.
+type entry struct {
+	ref       Ref
+	instance  Instance
+	past      [4]Instance
+	state     State
+	coldSince time.Time
+	// listLeaving is the platform's word that the VM is leaving.
+	listLeaving bool
+	withdrawn   bool
+	// unlistedSince is when the list first lacked the target; zero if listed.
+	unlistedSince time.Time
+
+	starts   []time.Time
+	others   float64
+	othersAt time.Time
+	latency  float64
+	failures float64
+
+	consecutive  int
+	ejections    int
+	ejectedUntil time.Time
+	trial        int
+	lastAnswer   time.Time
+	lastProbe    time.Time
+	served       int64
+}
+
+// takesWork reports whether state and operators allow new work at all.
+func (e *entry) takesWork() bool {
+	if e.withdrawn || e.listLeaving {
+		return false
+	}
+	return e.state != Draining && e.state != Leaving
+}
+
+// isPast reports whether an instance is known to have been replaced.
+func (e *entry) isPast(i Instance) bool {
+	if i == "" {
+		return false
+	}
+	for _, p := range e.past {
+		if p == i {
+			return true
+		}
+	}
+	return false
+}
+
+// replaceInstance starts over with a new process on the same address.
+func (e *entry) replaceInstance(i Instance, now time.Time) {
+	if e.instance != "" {
+		copy(e.past[1:], e.past[:len(e.past)-1])
+		e.past[0] = e.instance
+		e.state = Cold
+		e.coldSince = now
+	}
+	e.instance = i
+	e.others, e.latency, e.failures = 0, 0, 0
+	e.consecutive, e.trial = 0, 0
+	e.ejectedUntil = time.Time{}
+}
--- /dev/null
+++ b/target/table.go
@@ -0,0 +1,231 @@
+package target
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apricotmount/apricotmount/invariant"
+	"github.com/apricotmount/apricotmount/routing"
+	"github.com/apricotmount/apricotmount/service"
+	"github.com/apricotmount/apricotmount/vm"
+	"github.com/apricotmount/apricotmount/zone"
+)
+
+// Settings of a Table; zero values mean the defaults.
+type Settings struct {
+	// Chooser is the method of choice. Default routing.LeastLoad.
+	Chooser routing.Chooser
+	// Zone is the node's own availability zone.
+	Zone zone.Name
+	// Rights tells of cold targets this node may send to. Default none.
+	Rights Rights
+	// Checks is told of broken promises.
+	Checks *invariant.Checks
+	// Noted, if set, is told of state changes worth an event, with the lock held.
+	Noted func(ref Ref, what Note)
+	// Seed starts the random numbers of the choice. Default random.
+	Seed uint64
+}
+
+// Note is a change of a target worth an event.
+type Note uint8
+
+// The notes.
+const (
+	NoteState Note = iota
+	NoteInstance
+	NoteEjected
+	NoteReturned
+	NoteDoubted
+)
+
+const (
+	// othersLifetime is the age at which a report of others' load counts nothing.
+	othersLifetime = 400 * time.Millisecond
+	// ejectAfter is how many failures in a row make a target bad.
+	ejectAfter = 3
+	// ejectBase and ejectMax bound how long a bad target gets no work.
+	ejectBase = time.Second
+	ejectMax  = 30 * time.Second
+	// trialAnswers is how many answers end the trial of a returned target.
+	trialAnswers = 3
+	// unlistedGrace is how long a target that the list lacks stays in use.
+	unlistedGrace = 60 * time.Second
+	// latencyWeight is the weight of one answer in the moving averages.
+	latencyWeight = 0.1
+	// openPatience is how many usual latencies an open attempt may take before
+	// it counts as slowness.
+	openPatience = 2.0
+	// maxSlowness bounds the slowness of a target.
+	maxSlowness = 16.0
+	// failurePenalty is the slowness of a target that always fails.
+	failurePenalty = 8.0
+)
+
+// Table holds the targets of one service as one node sees them. All methods
+// may be called from any goroutine.
+type Table struct {
+	settings Settings
+
+	mu         sync.Mutex
+	svc        service.Service
+	entries    []*entry
+	candidates []routing.Candidate
+	eligible   []*entry
+	rng        *rand.Rand
+	latency    float64
+	failures   float64
+	others     float64
+}
+
+// NewTable returns an empty table.
+func NewTable(svc service.Service, settings Settings) *Table {
+	if settings.Chooser == nil {
+		settings.Chooser = routing.LeastLoad{}
+	}
+	if settings.Rights == nil {
+		settings.Rights = noRights{}
+	}
+	if settings.Seed == 0 {
+		settings.Seed = rand.Uint64()
+	}
+	return &Table{svc: svc, settings: settings, rng: rand.New(rand.NewPCG(settings.Seed, settings.Seed))}
+}
+
+// SetService takes changed values of the service.
+func (t *Table) SetService(svc service.Service) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.svc = svc
+}
+
+// SetList takes the platform's list: the VMs of this service.
+func (t *Table) SetList(now time.Time, list []vm.VM, withdrawn func(vm.ID, zone.Name) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := make(map[vm.ID]bool, len(list))
+	for _, v := range list {
+		seen[v.ID] = true
+		t.takeListed(v)
+	}
+	t.entries = slices.DeleteFunc(t.entries, func(e *entry) bool {
+		return !seen[e.ref.ID] && t.unlistedFor(e, now)
+	})
+	for _, e := range t.entries {
+		if seen[e.ref.ID] {
+			e.unlistedSince = time.Time{}
+		}
+		e.withdrawn = withdrawn(e.ref.ID, e.ref.Zone)
+	}
+	slices.SortFunc(t.entries, func(a, b *entry) int { return strings.Compare(string(a.ref.ID), string(b.ref.ID)) })
+}
+
+// takeListed adds or renews the entry of a listed VM. The lock must be held.
+func (t *Table) takeListed(v vm.VM) {
+	e := t.find(v.ID)
+	if e == nil {
+		// A new VM on the address of an old one puts an end to the old one.
+		t.entries = slices.DeleteFunc(t.entries, func(old *entry) bool { return old.ref.Address == v.Address })
+		e = &entry{ref: Ref{ID: v.ID, Service: t.svc.Name, Address: v.Address, Zone: v.Zone}}
+		t.entries = append(t.entries, e)
+	}
+	e.listLeaving = v.State == vm.StateLeaving
+}
+
+// unlistedFor reports whether a target has been missing from the list for so
+// long that it is dropped. The lock must be held.
+func (t *Table) unlistedFor(e *entry, now time.Time) bool {
+	if e.unlistedSince.IsZero() {
+		e.unlistedSince = now
+	}
+	missing := now.Sub(e.unlistedSince)
+	if missing >= unlistedGrace {
+		return true
+	}
+	return len(e.starts) == 0 && e.consecutive >= ejectAfter
+}
+
+// SetWithdrawn takes what operators have out of service.
+func (t *Table) SetWithdrawn(withdrawn func(vm.ID, zone.Name) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		e.withdrawn = withdrawn(e.ref.ID, e.ref.Zone)
+	}
+}
+
+// find returns the entry of a VM, or nil. The lock must be held.
+func (t *Table) find(id vm.ID) *entry {
+	for _, e := range t.entries {
+		if e.ref.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
+func (t *Table) note(e *entry, n Note) {
+	if t.settings.Noted != nil {
+		t.settings.Noted(e.ref, n)
+	}
+}
+
+// Counts says how many targets a service has and how many take work.
+type Counts struct {
+	Known, Open, Cold int
+}
+
+// Counts returns the numbers of targets by what they take.
+func (t *Table) Counts(now time.Time) (c Counts) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		c.Known++
+		if !e.takesWork() || now.Before(e.ejectedUntil) {
+			continue
+		}
+		if e.state == Cold {
+			c.Cold++
+			continue
+		}
+		c.Open++
+	}
+	return c
+}
+
+// View is what the table holds of one target, for operators and peers.
+type View struct {
+	Ref       Ref
+	Instance  Instance
+	State     State
+	Withdrawn bool
+	Ejected   bool
+	Own       int
+	Others    float64
+	Slowness  float64
+	Served    int64
+	// Heard is when the target last answered.
+	Heard time.Time
+}
+
+// Views returns what the table holds, ordered by VM.
+func (t *Table) Views(now time.Time) []View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	views := make([]View, 0, len(t.entries))
+	for _, e := range t.entries {
+		state := e.state
+		if e.listLeaving {
+			state = Leaving
+		}
+		views = append(views, View{
+			Ref: e.ref, Instance: e.instance, State: state, Withdrawn: e.withdrawn,
+			Ejected: now.Before(e.ejectedUntil), Own: len(e.starts), Others: t.othersAt(e, now),
+			Slowness: t.slowness(e, now), Served: e.served, Heard: e.lastAnswer,
+		})
+	}
+	return views
+}
--- /dev/null
+++ b/tools/doc.go
@@ -0,0 +1,3 @@
+// Package tools pins the programs that check the code; they are no part of the
+// product's module.
+package tools
--- /dev/null
+++ b/unit/doc.go
@@ -0,0 +1,2 @@
+// Package unit reads quantities that people write with their units.
+package unit
--- /dev/null
+++ b/zone/doc.go
@@ -0,0 +1,2 @@
+// Package zone names availability zones and the regions that hold them.
+package zone
