Let request and answer flow at the same time

Cause: net/http swallows the unread part of a request's body before it writes an answer, so a streamed body of 4 MiB reached the target 256 KiB short while the call looked whole. Ruled out: the copy loop and the transport (the sized body of the same length passed).

--- a/cmd/apricotctl/operate.go
+++ b/cmd/apricotctl/operate.go
@@ -11,7 +11,6 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/apricotmount/apricotmount/config"
-	"github.com/apricotmount/apricotmount/document"
 	"github.com/apricotmount/apricotmount/operator"
 	"github.com/apricotmount/apricotmount/vm"
 	"github.com/apricotmount/apricotmount/zone"
@@ -53,11 +52,7 @@
 	if err != nil {
 		return err
 	}
-	var doc config.Document
-	if err := document.Decode(b, &doc); err != nil {
-		return err
-	}
-	return settle(c.client().PublishDocument(ctx, doc))
+	return settle(c.client().Publish(ctx, b))
 }
 
 type publicationCommand struct {
--- a/document/document.go
+++ b/document/document.go
@@ -12,7 +12,9 @@
 )
 
 // Decode reads YAML (of which JSON is a part) into the struct that v points to.
-// The error is a fault.List that names each key at fault.
+// The error is a fault.List that names each key at fault. If the only faults are
+// unknown keys, v holds the rest all the same, so that its values can be checked
+// in the same go.
 func Decode(b []byte, v any) (err error) {
 	var faults fault.List
 	var tree any
@@ -24,15 +26,26 @@
 		return nil
 	}
 	check(tree, reflect.TypeOf(v).Elem(), "", &faults)
-	if len(faults) > 0 {
-		return faults
-	}
-	if err := yaml.Unmarshal(b, v); err != nil {
+	if err := yaml.Unmarshal(b, v); err != nil && len(faults) == 0 {
 		faults.Add("document", "%s", firstLine(err))
 	}
 	return faults.Err()
 }
 
+// unknownKey is the problem of a key that no field takes.
+const unknownKey = "is not a known key"
+
+// OnlyUnknownKeys reports whether an error of Decode says nothing but that keys
+// are unknown.
+func OnlyUnknownKeys(err error) bool {
+	for _, f := range fault.Of(err) {
+		if f.Problem != unknownKey {
+			return false
+		}
+	}
+	return true
+}
+
 func firstLine(err error) string {
 	line, _, _ := strings.Cut(err.Error(), "\n")
 	return line
@@ -67,7 +80,7 @@
 	for _, key := range sortedKeys(m) {
 		f, known := fields[key]
 		if !known {
-			faults.Add(fault.Join(path, key), "is not a known key")
+			faults.Add(fault.Join(path, key), unknownKey)
 			continue
 		}
 		check(m[key], f, fault.Join(path, key), faults)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -98,6 +98,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	arrived := time.Now()
+	// Without this the library swallows what is left of a request's body before
+	// it writes an answer. A connection that cannot do it answers in turn.
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	c, refusal := h.read(r, arrived)
 	if refusal.Reason != "" {
 		h.refuse(w, &dispatch.Lost{Outcome: refusal.Outcome, Reason: refusal.Reason})
--- a/node/operator.go
+++ b/node/operator.go
@@ -59,6 +59,12 @@
 	return h.awaitFate(ctx, p.ID, appendErr)
 }
 
+// Check returns the faults of a document that is not to be published.
+func (h operatorHost) Check(doc config.Document) fault.List {
+	_, err := config.Prepare(h.n.book.Current(), doc, h.n.facts())
+	return fault.Of(err)
+}
+
 // awaitFate looks a publication up in the stream until its fate is known.
 func (h operatorHost) awaitFate(ctx context.Context, id config.PublicationID, appendErr error) operator.Answer {
 	ctx, cancel := context.WithTimeout(ctx, publishWait)
--- a/operator/api.go
+++ b/operator/api.go
@@ -21,6 +21,8 @@
 type Host interface {
 	// Publish checks a document, appends it and waits for its fate.
 	Publish(ctx context.Context, doc config.Document) Answer
+	// Check returns the faults of a document that is not to be published.
+	Check(doc config.Document) fault.List
 	// Publication says what became of a publication.
 	Publication(id config.PublicationID) Answer
 	// Configuration returns what is in force.
@@ -81,7 +83,11 @@
 func (a api) publish(ctx iris.Context) {
 	var doc config.Document
 	if err := read(ctx, &doc); err != nil {
-		reply(ctx, http.StatusUnprocessableEntity, Answer{Result: Refused, Reason: "the document is faulty", Faults: fault.Of(err)})
+		faults := fault.Of(err)
+		if document.OnlyUnknownKeys(err) {
+			faults = append(faults, a.host.Check(doc)...)
+		}
+		reply(ctx, http.StatusUnprocessableEntity, Answer{Result: Refused, Reason: "the document is faulty", Faults: faults})
 		return
 	}
 	answer := a.host.Publish(ctx.Request().Context(), doc)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,6 +15,7 @@
 
 	"github.com/apricotmount/apricotmount/admission"
 	"github.com/apricotmount/apricotmount/document"
+	"github.com/apricotmount/apricotmount/fault"
 	"github.com/apricotmount/apricotmount/measuring"
 	"github.com/apricotmount/apricotmount/unit"
 	"github.com/apricotmount/apricotmount/vm"
@@ -94,10 +95,12 @@
 func Parse(b []byte) (s Settings, err error) {
 	doc := Defaults()
 	doc.Node = NodeDocument{}
-	if err := document.Decode(b, &doc); err != nil {
-		return Settings{}, err
+	decodeErr := document.Decode(b, &doc)
+	if !document.OnlyUnknownKeys(decodeErr) {
+		return Settings{}, decodeErr
 	}
-	return Check(doc)
+	s, err = Check(doc)
+	return s, append(fault.Of(decodeErr), fault.Of(err)...).Err()
 }
 
 // Check turns a document into settings; the error is a fault.List.
