Judge turns in the queue by who was admitted, not by who ran first

The queue itself was right: the quiet caller was in the second turn. Change: the test looks at the set of calls admitted by two departures, of at most four; under first come first served the quiet one would be the 41st.

--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -128,9 +128,15 @@
 		open[0].Leave(true)
 		open[1].Leave(true)
 		synctest.Wait()
-		first, second := <-order, <-order
-		if first != "quiet" && second != "quiet" {
-			t.Errorf("first two: got %s and %s, want the quiet caller among them", first, second)
+		// Two calls left, and the limit may have grown by one each.
+		const most = 4
+		admitted := len(order)
+		quiet := false
+		for range admitted {
+			quiet = <-order == "quiet" || quiet
+		}
+		if !quiet || admitted > most {
+			t.Errorf("the first %d: got quiet among them %v, want true of at most %d", admitted, quiet, most)
 		}
 		for _, p := range open[2:] {
 			p.Leave(true)
