--- /dev/null
+++ b/claim/fuzz_test.go
@@ -0,0 +1,23 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apricotmount/apricotmount/codec"
+	"github.com/apricotmount/apricotmount/stream"
+)
+
+// FuzzApply folds any bytes; the offset advances and nothing breaks.
+func FuzzApply(f *testing.F) {
+	f.Add(codec.Encode(Batch{Holder: 1, Requests: []Request{{Number: 1, Window: 60}}}))
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		b := &Book{}
+		if err := b.Apply(stream.Record{Offset: 4, Time: time.Unix(1e9, 0), Payload: payload}); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := b.Next(), stream.Offset(5); got != want {
+			t.Errorf("next: got %d, want %d", got, want)
+		}
+	})
+}
--- /dev/null
+++ b/config/fuzz_test.go
@@ -0,0 +1,40 @@
+package config
+
+import (
+	"testing"
+
+	"github.com/apricotmount/apricotmount/stream"
+)
+
+// FuzzFold folds any bytes: the offset advances, the revision never goes back.
+func FuzzFold(f *testing.F) {
+	f.Add(publication("a", 0, putProfile("p")))
+	f.Add(EncodeSnapshot(&Configuration{}))
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		c := &Configuration{Revision: 3}
+		next, err := Fold(c, record(0, payload))
+		if err != nil {
+			return
+		}
+		if got, want := next.Next, stream.Offset(1); got != want {
+			t.Errorf("next: got %d, want %d", got, want)
+		}
+		if next.Revision < c.Revision {
+			t.Errorf("revision: got %d, want at least %d", next.Revision, c.Revision)
+		}
+	})
+}
+
+func FuzzDecodeWhole(f *testing.F) {
+	f.Add(EncodeWhole(&Configuration{Revision: 1}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		c, err := DecodeWhole(b)
+		if err != nil {
+			return
+		}
+		// Whatever was decoded must be usable.
+		c.Resolve("host", "/path")
+		c.Digest()
+		(&Book{}).Offer(c)
+	})
+}
--- a/document/document.go
+++ b/document/document.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
 
 	"github.com/apricotmount/apricotmount/fault"
 )
@@ -18,7 +19,7 @@
 func Decode(b []byte, v any) (err error) {
 	var faults fault.List
 	var tree any
-	if err := yaml.Unmarshal(b, &tree); err != nil {
+	if err := unmarshal(b, &tree); err != nil {
 		faults.Add("document", "is not YAML: %s", firstLine(err))
 		return faults
 	}
@@ -26,12 +27,23 @@
 		return nil
 	}
 	check(tree, reflect.TypeOf(v).Elem(), "", &faults)
-	if err := yaml.Unmarshal(b, v); err != nil && len(faults) == 0 {
+	if err := unmarshal(b, v); err != nil && len(faults) == 0 {
 		faults.Add("document", "%s", firstLine(err))
 	}
 	return faults.Err()
 }
 
+// unmarshal reads YAML; the library panics on some malformed documents, which
+// is a fault of the document here.
+func unmarshal(b []byte, v any) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = eris.Errorf("cannot be read: %v", r)
+		}
+	}()
+	return yaml.Unmarshal(b, v)
+}
+
 // unknownKey is the problem of a key that no field takes.
 const unknownKey = "is not a known key"
 
