Refuse keyed calls at once while the log is known to be away

Cause: each keyed call at a node cut off from the log waited its whole patience of 2 s before it was refused; the users ask for the final answer at once. And hedges ran out of tokens in the very moments they were for: the estimate of the load, averaged over 50 choices, cut the saved tokens when it swung. Change: a claim whose append was not acknowledged is looked for 300 ms, then refused; after a failed append one claim per 500 ms tries the log and the rest are refused at once. The load is averaged over 200 choices.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -42,6 +42,13 @@
 	state   state
 	asked   time.Time
 	decided chan struct{}
+	hurried chan struct{}
+	once    sync.Once
+}
+
+// hurry ends the wait for a decision.
+func (c *Claim) hurry() {
+	c.once.Do(func() { close(c.hurried) })
 }
 
 // New returns the claim of a call that carries a key, not yet acquired, or why
@@ -53,7 +60,7 @@
 	if age, ok := KeyAge(key, time.Now()); ok && age >= window {
 		return nil, outcome.Refusal{Outcome: outcome.NotRun, Reason: outcome.KeyTooOld}
 	}
-	claim := &Claim{claimer: c, lapse: window / 2, decided: make(chan struct{})}
+	claim := &Claim{claimer: c, lapse: window / 2, decided: make(chan struct{}), hurried: make(chan struct{})}
 	claim.request = Request{Key: DigestOf(svc, key), Window: uint32(window / time.Second)}
 	copy(claim.request.Fingerprint[:], fingerprint)
 	return claim, outcome.Refusal{}
@@ -88,15 +95,20 @@
 	if refusal := c.conflict(); refusal.Reason != "" {
 		return refusal
 	}
+	now := time.Now()
+	if c.claimer.refuseAtOnce(now) {
+		return outcome.Refusal{Outcome: outcome.NotRun, Reason: outcome.ClaimUnavailable}
+	}
 	c.mu.Lock()
 	c.state = waiting
-	c.asked = time.Now()
+	c.asked = now
 	c.mu.Unlock()
 	c.claimer.request(c)
 	ctx, cancel := context.WithTimeout(ctx, c.claimer.Settings.withDefaults().Patience)
 	defer cancel()
 	select {
 	case <-c.decided:
+	case <-c.hurried:
 	case <-ctx.Done():
 	}
 	return c.settle()
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -134,6 +134,12 @@
 		if c.Use() {
 			t.Error("use without a claim: got true, want false")
 		}
+		began := time.Now()
+		_, refusal = acquire(t, a, "another", "body")
+		want(t, "log known to be down", refusal, outcome.NotRun, outcome.ClaimUnavailable)
+		if took := time.Since(began); took != 0 {
+			t.Errorf("refused after %s, want at once", took)
+		}
 		log.SetDown(false)
 		time.Sleep(5 * time.Second)
 		if _, refusal := acquire(t, a, "k", "body"); refusal.Reason != "" {
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -73,6 +73,8 @@
 	tokens   float64
 	filled   time.Time
 	away     bool
+	// tried is when the log was last tried, or its latest append ended.
+	tried time.Time
 }
 
 // Start prepares the claimer; Run appends what gathers until ctx ends.
@@ -112,11 +114,11 @@
 	defer cancel()
 	_, err := c.Log.Append(appendCtx, Stream, codec.Encode(batch))
 	c.setAway(err != nil)
-	if err != nil && c.Failed != nil {
-		c.Failed(err)
-	}
 	if err != nil {
 		c.giveUp(batch)
+		if c.Failed != nil {
+			c.Failed(err)
+		}
 	}
 	return true
 }
@@ -176,31 +178,54 @@
 
 // giveUp keeps the releases of an append that was not acknowledged, to be made
 // again: a release that counts twice does no harm. Requests are not repeated;
-// they are granted if the record turns out to be in the stream.
+// they are granted if the record turns out soon to be in the stream, and their
+// calls wait no longer than that.
 func (c *Claimer) giveUp(b Batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, r := range b.Requests {
+		if claim := c.pending[r.Number]; claim != nil {
+			time.AfterFunc(lostAckGrace, claim.hurry)
+		}
+	}
 	c.releases = append(c.releases, b.Releases...)
 	if extra := len(c.releases) - maxKeptReleases; extra > 0 {
 		c.releases = c.releases[extra:]
 	}
 }
 
+// lostAckGrace is how long the record of an append that was not acknowledged is
+// looked for in the stream.
+const lostAckGrace = 300 * time.Millisecond
+
 // maxKeptReleases bounds the releases kept while the log is away; those beyond
 // it stay claimed until their windows end.
 const maxKeptReleases = 1 << 14
 
+// awayRetry is how often a claim is tried while the log is away; calls between
+// are refused at once.
+const awayRetry = 500 * time.Millisecond
+
 func (c *Claimer) setAway(away bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.away = away
+	c.tried = time.Now()
 }
 
-// Away reports whether the latest append failed.
-func (c *Claimer) Away() bool {
+// refuseAtOnce reports whether the latest append failed and another try is not
+// due yet.
+func (c *Claimer) refuseAtOnce(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.away
+	if !c.away {
+		return false
+	}
+	if now.Sub(c.tried) < awayRetry {
+		return true
+	}
+	c.tried = now
+	return false
 }
 
 // decided takes a decision of the book; it is called with the book's lock held.
--- a/target/table.go
+++ b/target/table.go
@@ -60,7 +60,7 @@
 	// latencyWeight is the weight of one answer in the moving averages.
 	latencyWeight = 0.1
 	// loadWeight is the weight of one choice in the average load.
-	loadWeight = 0.02
+	loadWeight = 0.005
 	// openPatience is how many usual latencies an open attempt may take before
 	// it counts as slowness.
 	openPatience = 2.0
