Give load generation a package and a command, and leases a length by fleet

Cause: the demonstration's callers were tied to nodes in one process, so calls could not be sent through separate processes; and renewals of leases would have grown with the fleet: at 100 nodes every node would read 13 records a second. Change: package load and apricotctl load; the demonstration uses them. A lease lasts 1.2 s per live node, 30 s at least, and carries its own length. The harness for the capacity slopes.

--- a/cmd/apricotctl/main.go
+++ b/cmd/apricotctl/main.go
@@ -25,6 +25,7 @@
 	Status      *statusCommand      `arg:"subcommand:status" help:"show a node and what is in force at each node it hears"`
 	Targets     *targetsCommand     `arg:"subcommand:targets" help:"show the targets as a node sees them"`
 	Standin     *standinCommand     `arg:"subcommand:standin" help:"serve stand-ins for the platform and targets on loopback"`
+	Load        *loadCommand        `arg:"subcommand:load" help:"send calls through running nodes and count what came of them"`
 	Fault       *faultCommand       `arg:"subcommand:fault" help:"break or mend something in a running stand-in"`
 	Demo        *demoCommand        `arg:"subcommand:demo" help:"run the Ghoshal deployment in one process and break it"`
 	Events      *eventsCommand      `arg:"subcommand:events" help:"print the catalogue of log events"`
--- a/coldstart/keeper.go
+++ b/coldstart/keeper.go
@@ -14,14 +14,18 @@
 
 // Settings of a Keeper; zero values mean the defaults.
 type Settings struct {
-	// Lease is how long a lease lasts. Default 30 s.
+	// Lease is how long a lease lasts at least. Default 30 s.
 	Lease time.Duration
+	// LeasePerNode lengthens leases with the fleet, so that what all nodes
+	// append for renewals stays the same. Default 1.2 s.
+	LeasePerNode time.Duration
 	// AppendTimeout bounds one append. Default 2 s.
 	AppendTimeout time.Duration
 }
 
 const (
 	defaultLease         = 30 * time.Second
+	defaultLeasePerNode  = 1200 * time.Millisecond
 	defaultAppendTimeout = 2 * time.Second
 	// renewals is how often a lease is renewed while it lasts.
 	renewals = 3
@@ -34,6 +38,9 @@
 	if s.Lease == 0 {
 		s.Lease = defaultLease
 	}
+	if s.LeasePerNode == 0 {
+		s.LeasePerNode = defaultLeasePerNode
+	}
 	if s.AppendTimeout == 0 {
 		s.AppendTimeout = defaultAppendTimeout
 	}
@@ -55,6 +62,21 @@
 	return max(now.Sub(i.mono), now.Round(0).Sub(i.wall))
 }
 
+// right is a lease on one shard: when its record was sent, and how long it may
+// be used from then on.
+type right struct {
+	sent   instant
+	usable time.Duration
+}
+
+// left is how long the right may still be used.
+func (r right) left(now time.Time) time.Duration {
+	if r.usable == 0 {
+		return 0
+	}
+	return r.usable - r.sent.elapsed(now)
+}
+
 // Keeper renews the leases that fall to one node. It is a target.Rights.
 type Keeper struct {
 	Log      stream.Log
@@ -69,7 +91,7 @@
 	mu      sync.Mutex
 	last    uint64
 	sent    map[uint64]instant
-	held    [Shards]instant
+	held    [Shards]right
 	leaving bool
 }
 
@@ -83,12 +105,11 @@
 
 // Run asks for leases and renews them until ctx ends, then gives them back.
 func (k *Keeper) Run(ctx context.Context) {
-	cfg := k.Settings.withDefaults()
 	// Nodes that start together first get to know each other.
 	sleep(ctx, firstWait/2+rand.N(firstWait))
 	for ctx.Err() == nil {
 		k.append(ctx, Lease{Shards: k.wanted()})
-		wait := cfg.Lease / renewals
+		wait := k.length() / renewals
 		sleep(ctx, wait/2+rand.N(wait/2))
 	}
 }
@@ -102,6 +123,12 @@
 	k.append(ctx, Lease{Freed: k.dropAll()})
 }
 
+// length is how long a lease lasts in a fleet of this size.
+func (k *Keeper) length() time.Duration {
+	cfg := k.Settings.withDefaults()
+	return max(cfg.Lease, time.Duration(len(k.Live()))*cfg.LeasePerNode)
+}
+
 // wanted returns the shards that fall to this node among the live members.
 func (k *Keeper) wanted() (s Set) {
 	live := k.Live()
@@ -118,7 +145,7 @@
 	cfg := k.Settings.withDefaults()
 	l.Holder = k.Holder
 	l.Number = k.note()
-	l.Length = uint32(cfg.Lease.Milliseconds())
+	l.Length = uint32(k.length().Milliseconds())
 	ctx, cancel := context.WithTimeout(ctx, cfg.AppendTimeout)
 	defer cancel()
 	if _, err := k.Log.Append(ctx, Stream, codec.Encode(l)); err != nil && k.Failed != nil {
@@ -146,10 +173,10 @@
 	defer k.mu.Unlock()
 	k.leaving = true
 	for i := range k.held {
-		if k.held[i] != (instant{}) {
+		if k.held[i].usable > 0 {
 			s.Add(Shard(i))
 		}
-		k.held[i] = instant{}
+		k.held[i] = right{}
 	}
 	return s
 }
@@ -166,34 +193,28 @@
 		return
 	}
 	delete(k.sent, g.Lease.Number)
+	length := time.Duration(g.Lease.Length) * time.Millisecond
 	for i := range k.held {
 		if g.Shards.Has(Shard(i)) && !k.leaving {
-			k.held[i] = sent
+			k.held[i] = right{sent: sent, usable: length - length/marginShare}
 		}
 	}
 }
 
 // Until returns the end of this node's right to a target, if it has one.
 func (k *Keeper) Until(id vm.ID, now time.Time) (end time.Time, ok bool) {
-	length := k.Settings.withDefaults().Lease
-	usable := length - length/marginShare
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	since := k.held[ShardOf(id)]
-	if since == (instant{}) {
-		return time.Time{}, false
-	}
-	left := usable - since.elapsed(now)
+	left := k.held[ShardOf(id)].left(now)
 	return now.Add(left), left > 0
 }
 
 // Held is how many shards this node holds.
 func (k *Keeper) Held(now time.Time) (n int) {
-	length := k.Settings.withDefaults().Lease
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, since := range k.held {
-		if since != (instant{}) && since.elapsed(now) < length-length/marginShare {
+	for _, r := range k.held {
+		if r.left(now) > 0 {
 			n++
 		}
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rotisserie/eris"
 
 	"github.com/apricotmount/apricotmount/config"
+	"github.com/apricotmount/apricotmount/load"
 	"github.com/apricotmount/apricotmount/node"
 	"github.com/apricotmount/apricotmount/operator"
 	"github.com/apricotmount/apricotmount/standin"
@@ -65,22 +65,20 @@
 type demo struct {
 	settings   Settings
 	deployment *deployment
-	balancer   *balancer
-	callers    *callers
+	balancer   *load.Balancer
+	callers    *load.Callers
 	began      time.Time
 	out        zoneOut
 	stopped    *node.Node
-	stopBegan  time.Time
 	reverted   int
-	through    *hdrhistogram.Histogram
-	direct     *hdrhistogram.Histogram
+	added      load.Added
 }
 
 // Run runs the demonstration and counts what came of it.
 func Run(ctx context.Context, s Settings) (r *Result, err error) {
 	defer func() { err = eris.Wrap(err, "run the demonstration") }()
 	s = s.withDefaults()
-	d := &demo{settings: s, deployment: &deployment{seed: s.Seed}, balancer: &balancer{}}
+	d := &demo{settings: s, deployment: &deployment{seed: s.Seed}, balancer: &load.Balancer{}}
 	if err := d.start(ctx); err != nil {
 		return nil, err
 	}
@@ -122,22 +120,22 @@
 func (d *demo) flow(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Duration)
 	defer cancel()
-	d.balancer.set(d.deployment.nodes)
-	d.balancer.look(ctx)
-	d.callers = newCallers(d.balancer, d.settings.Seed)
+	d.balancer.Set(endpoints(d.deployment.nodes))
+	d.balancer.Look(ctx)
+	d.callers = load.NewCallers(d.balancer, d.settings.Seed, answerBytes)
 	d.began = time.Now()
 	var background sync.WaitGroup
-	background.Go(func() { d.balancer.run(ctx) })
+	background.Go(func() { d.balancer.Run(ctx) })
 	background.Go(func() { d.watchRevisions(ctx) })
 	background.Go(func() { d.watchAdded(ctx) })
 	background.Go(func() { d.reportProgress(ctx) })
 	for i, k := range kinds {
-		background.Go(func() { d.callers.run(ctx, k, i) })
+		background.Go(func() { d.callers.Run(ctx, k, i) })
 	}
 	err := d.happen(ctx)
 	<-ctx.Done()
 	background.Wait()
-	d.callers.wg.Wait()
+	d.callers.Wait()
 	return err
 }
 
@@ -190,7 +188,7 @@
 func (d *demo) replaceNode(ctx context.Context) error {
 	d.waitFor(nodeStopAt)
 	last := len(d.deployment.nodes) - 1
-	d.stopped, d.stopBegan = d.deployment.nodes[last], time.Now()
+	d.stopped = d.deployment.nodes[last]
 	name := d.deployment.names[last]
 	d.say("entry node %s is being stopped as planned", name)
 	cut := d.stopped.Stop(context.Background())
@@ -201,28 +199,25 @@
 		return err
 	}
 	remaining := append([]*node.Node(nil), d.deployment.nodes[:last]...)
-	d.balancer.set(append(remaining, n))
+	d.balancer.Set(endpoints(append(remaining, n)))
 	d.say("another entry node started in its place")
 	return nil
 }
 
 // watchRevisions looks for a revision in force that goes back.
 func (d *demo) watchRevisions(ctx context.Context) {
-	latest := map[*node.Node]config.Revision{}
+	latest := map[string]config.Revision{}
 	for ctx.Err() == nil {
-		d.balancer.mu.Lock()
-		nodes := d.balancer.nodes
-		d.balancer.mu.Unlock()
-		for _, n := range nodes {
-			client := operator.Client{URL: "http://" + n.Addresses().Operators}
+		for _, e := range d.balancer.Nodes() {
+			client := operator.Client{URL: "http://" + e.Name}
 			c, err := client.Configuration(ctx)
 			if err != nil {
 				continue
 			}
-			if c.Revision < latest[n] {
+			if c.Revision < latest[e.Name] {
 				d.reverted++
 			}
-			latest[n] = c.Revision
+			latest[e.Name] = c.Revision
 		}
 		time.Sleep(revisionTick)
 	}
@@ -241,11 +236,7 @@
 	// Added time is that of the steady state, before anything is broken.
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(zoneOutAt*float64(d.settings.Duration)))
 	defer cancel()
-	through, direct, err := d.callers.measureAdded(ctx, string(address))
-	if err != nil {
-		d.say("added time could not be measured: %v", err)
-	}
-	d.through, d.direct = through, direct
+	d.added = d.callers.MeasureAdded(ctx, string(address), "/straight/x")
 }
 
 // progressTick is how often progress is shown.
@@ -260,10 +251,7 @@
 			return
 		case <-timer.C:
 		}
-		d.callers.mu.Lock()
-		n := len(d.callers.records)
-		d.callers.mu.Unlock()
-		d.say("%d calls ended", n)
+		d.say("%d calls ended", len(d.callers.Records()))
 	}
 }
 
@@ -279,9 +267,10 @@
 			started[s.Call] = append(started[s.Call], s)
 		}
 	}
-	r.countCalls(d.callers.records, started)
-	for _, rec := range d.callers.records {
-		if rec.broken && rec.node == d.stopped && rec.sent.After(d.stopBegan.Add(-time.Minute)) {
+	records := d.callers.Records()
+	r.countCalls(records, started)
+	for _, rec := range records {
+		if rec.Broken && rec.Node == endpoint(d.stopped) {
 			r.CutByPlannedStop++
 		}
 	}
@@ -290,8 +279,6 @@
 	for _, n := range d.deployment.nodes {
 		r.PromisesBroken += int(n.Checks().Total())
 	}
-	r.takeLatencies(d.callers)
-	r.AddedP50 = millis(d.through, 50) - millis(d.direct, 50)
-	r.AddedP99 = millis(d.through, 99) - millis(d.direct, 99)
+	r.AddedP50, r.AddedP99 = d.added.Millis(50), d.added.Millis(99)
 	return r
 }
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/apricotmount/apricotmount/config"
+	"github.com/apricotmount/apricotmount/load"
 	"github.com/apricotmount/apricotmount/metrics"
 	"github.com/apricotmount/apricotmount/node"
 	"github.com/apricotmount/apricotmount/operator"
@@ -48,7 +49,16 @@
 	{straight, 1, time.Microsecond, 1},
 }
 
+// kinds are the users' callers, with their rates in calls per second.
+var kinds = []load.Kind{
+	{Service: roundbook, Method: http.MethodGet, Rate: 300},
+	{Service: khata, Method: http.MethodPost, Rate: 60, Keyed: true, Duplicates: 0.1},
+	{Service: hisab, Method: http.MethodGet, Rate: 80},
+}
+
 const (
+	// answerBytes is the length of the targets' answers.
+	answerBytes = 256
 	// listLag is how old the platform's list is that nodes see.
 	listLag = 2 * time.Second
 	// logRetention is how long the platform's log keeps records.
@@ -180,7 +190,7 @@
 // awaitReady waits until all nodes ask for work.
 func (d *deployment) awaitReady(ctx context.Context) error {
 	for _, n := range d.nodes {
-		for !ready(ctx, n) {
+		for !endpoint(n).Ready(ctx) {
 			if ctx.Err() != nil {
 				return eris.Wrap(ctx.Err(), "wait for the nodes to be ready")
 			}
@@ -193,17 +203,18 @@
 // readyTick is how often a node's readiness is asked for.
 const readyTick = 50 * time.Millisecond
 
-func ready(ctx context.Context, n *node.Node) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Addresses().Health+"/ready", nil)
-	if err != nil {
-		return false
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
+// endpoint is a node as balancer and callers see it, named by its operators'
+// address.
+func endpoint(n *node.Node) load.Endpoint {
+	a := n.Addresses()
+	return load.Endpoint{Name: a.Operators, Callers: a.Callers, Health: a.Health}
+}
+
+func endpoints(nodes []*node.Node) (out []load.Endpoint) {
+	for _, n := range nodes {
+		out = append(out, endpoint(n))
 	}
-	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return out
 }
 
 // inZone returns the targets of an availability zone.
--- a/demo/result.go
+++ b/demo/result.go
@@ -7,51 +7,36 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
+	"github.com/apricotmount/apricotmount/load"
 	"github.com/apricotmount/apricotmount/outcome"
-	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/standin"
 	"github.com/apricotmount/apricotmount/zone"
 )
 
 // Result is what the demonstration counted.
 type Result struct {
-	Seed    uint64 `json:"seed"`
-	Nodes   int    `json:"nodes"`
-	Calls   int    `json:"calls"`
-	Done    int    `json:"done"`
-	NotRun  int    `json:"not-run"`
-	Unknown int    `json:"unknown"`
+	Seed  uint64 `json:"seed"`
+	Nodes int    `json:"nodes"`
+	load.Summary
 	// Lost counts calls told done that no target finished.
 	Lost int `json:"lost"`
 	// Doubled counts keyed calls that targets started more than once.
 	Doubled int `json:"doubled"`
 	// UntrueNotRun counts calls told not-run that a target started.
 	UntrueNotRun int `json:"untrue-not-run"`
-	// Truncated counts answers that looked whole and were not.
-	Truncated int `json:"truncated"`
 	// CutByPlannedStop counts calls whose connection broke at a node that was
 	// being stopped as planned.
 	CutByPlannedStop int `json:"cut-by-planned-stop"`
 	// NewWorkAfterZoneOut counts calls that targets of a withdrawn availability
 	// zone started later than the promised time after it.
-	NewWorkAfterZoneOut int `json:"new-work-after-zone-out"`
-	ConfigReverted      int `json:"config-reverted"`
-	ColdOverruns        int `json:"cold-overruns"`
-	PromisesBroken      int `json:"promises-broken"`
-	// DuplicatesSent counts second sendings of keyed calls, which are not calls.
-	DuplicatesSent int     `json:"duplicates-sent"`
-	P50            float64 `json:"p50-ms"`
-	P99            float64 `json:"p99-ms"`
-	P999           float64 `json:"p99-9-ms"`
-	AddedP50       float64 `json:"added-p50-ms"`
-	AddedP99       float64 `json:"added-p99-ms"`
+	NewWorkAfterZoneOut int     `json:"new-work-after-zone-out"`
+	ConfigReverted      int     `json:"config-reverted"`
+	ColdOverruns        int     `json:"cold-overruns"`
+	PromisesBroken      int     `json:"promises-broken"`
+	AddedP50            float64 `json:"added-p50-ms"`
+	AddedP99            float64 `json:"added-p99-ms"`
 	// LoadCost is the target time that measuring load took, in percent of all.
 	LoadCost float64 `json:"load-cost-percent"`
-
-	byService map[service.Name]*hdrhistogram.Histogram
-	reasons   map[string]int
 }
 
 // measuringLimit is the most that measuring load may cost, in percent of target
@@ -60,48 +45,34 @@
 
 // Held reports whether every promise held.
 func (r *Result) Held() bool {
-	broken := r.Lost + r.Doubled + r.UntrueNotRun + r.Truncated + r.CutByPlannedStop +
-		r.NewWorkAfterZoneOut + r.ConfigReverted + r.ColdOverruns + r.PromisesBroken
-	return broken == 0 && r.LoadCost <= measuringLimit && r.Done > 0
+	for _, p := range r.promises() {
+		if p.count > 0 {
+			return false
+		}
+	}
+	return r.LoadCost <= measuringLimit && r.Done > 0
 }
 
 // countCalls holds the callers' account against the targets' ledgers.
-func (r *Result) countCalls(records []record, started map[string][]standin.Started) {
-	r.reasons = map[string]int{}
+func (r *Result) countCalls(records []load.Record, started map[string][]standin.Started) {
+	r.Summary = load.Summarise(records)
+	duplicated := map[string]bool{}
 	for _, rec := range records {
-		ran := started[rec.id]
-		if rec.keyed && !rec.duplicate && len(ran) > 1 {
+		duplicated[rec.ID] = duplicated[rec.ID] || rec.Duplicate
+	}
+	for _, rec := range records {
+		ran := started[rec.ID]
+		if rec.Keyed && !rec.Duplicate && len(ran) > 1 {
 			r.Doubled++
 		}
-		if rec.truncated {
-			r.Truncated++
-		}
-		if rec.outcome == outcome.Done && !anyFinished(ran) {
+		if rec.Outcome == outcome.Done && !anyFinished(ran) {
 			r.Lost++
 		}
-		if rec.duplicate {
-			r.DuplicatesSent++
-			continue
-		}
-		r.countOutcome(rec, ran)
-	}
-}
-
-func (r *Result) countOutcome(rec record, ran []standin.Started) {
-	r.Calls++
-	switch rec.outcome {
-	case outcome.Done:
-		r.Done++
-		return
-	case outcome.NotRun:
-		r.NotRun++
-		if len(ran) > 0 && !rec.keyed {
+		// Where a call was sent twice the other sending may have run.
+		if rec.Outcome == outcome.NotRun && len(ran) > 0 && !duplicated[rec.ID] {
 			r.UntrueNotRun++
 		}
-	default:
-		r.Unknown++
 	}
-	r.reasons[string(rec.outcome)+" "+rec.reason]++
 }
 
 func anyFinished(ran []standin.Started) bool {
@@ -140,40 +111,22 @@
 // countTargets sums up the targets' counts over the length of the run.
 func (r *Result) countTargets(targets []*standin.Target, ran time.Duration) {
 	var probes time.Duration
+	slots := 0
 	for _, t := range targets {
 		totals := t.Totals()
 		r.ColdOverruns += totals.ColdOverruns
 		probes += totals.ProbeTime
+		slots += t.Slots()
 	}
-	const slots = 6
-	all := float64(len(targets)*slots) * ran.Seconds()
-	r.LoadCost = 100 * probes.Seconds() / all
-}
-
-func (r *Result) takeLatencies(c *callers) {
-	all := newHistogram()
-	for _, h := range c.latency {
-		all.Merge(h)
-	}
-	r.byService = c.latency
-	r.P50, r.P99, r.P999 = millis(all, 50), millis(all, 99), millis(all, 99.9)
-}
-
-func millis(h *hdrhistogram.Histogram, percentile float64) float64 {
-	return float64(h.ValueAtPercentile(percentile)) / 1000
+	r.LoadCost = 100 * probes.Seconds() / (float64(slots) * ran.Seconds())
 }
 
 // WriteTable writes the result for a person.
 func (r *Result) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(t, "\ncalls\t%d\tdone %d, not run %d, unknown %d\n", r.Calls, r.Done, r.NotRun, r.Unknown)
-	for reason, n := range r.reasons {
-		fmt.Fprintf(t, "\t%d\t%s\n", n, reason)
-	}
-	for _, k := range kinds {
-		h := r.byService[k.service]
-		fmt.Fprintf(t, "%s\t%d\tp50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms\n", k.service, h.TotalCount(), millis(h, 50), millis(h, 99), millis(h, 99.9))
-	}
+	fmt.Fprintln(t)
+	r.Summary.Write(t)
+	fmt.Fprintf(t, "keyed calls sent twice on purpose\t%d\t\n", r.Duplicates)
 	fmt.Fprintf(t, "added by the system\t\tp50 %.2f ms, p99 %.2f ms\n", r.AddedP50, r.AddedP99)
 	for _, p := range r.promises() {
 		verdict := "held"
--- a/node/node.go
+++ b/node/node.go
@@ -215,3 +215,8 @@
 func newPool(s settings.Settings) *admission.Pool {
 	return admission.NewPool(s.MaxHeld)
 }
+
+// Traffic is what the node has said to its peers and heard from them.
+func (n *Node) Traffic() peer.Traffic {
+	return n.hub.Traffic()
+}
--- /dev/null
+++ b/proof/capacity/capacity_test.go
@@ -0,0 +1,511 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/apricotmount/apricotmount/claim"
+	"github.com/apricotmount/apricotmount/codec"
+	"github.com/apricotmount/apricotmount/config"
+	"github.com/apricotmount/apricotmount/member"
+	"github.com/apricotmount/apricotmount/metrics"
+	"github.com/apricotmount/apricotmount/node"
+	"github.com/apricotmount/apricotmount/operator"
+	"github.com/apricotmount/apricotmount/peer"
+	"github.com/apricotmount/apricotmount/profile"
+	"github.com/apricotmount/apricotmount/service"
+	"github.com/apricotmount/apricotmount/settings"
+	"github.com/apricotmount/apricotmount/standin"
+	"github.com/apricotmount/apricotmount/stream"
+	"github.com/apricotmount/apricotmount/target"
+	"github.com/apricotmount/apricotmount/vm"
+	"github.com/apricotmount/apricotmount/zone"
+)
+
+var capacityFlag = flag.Bool("capacity", false, "measure the slopes")
+
+// Result holds the slopes; each name says its unit.
+type Result struct {
+	CPUPerCall         float64 `json:"cpu-us-added-per-call"`
+	CPUPerCallDirect   float64 `json:"cpu-us-per-call-direct-both-ends"`
+	CPUPerPeerMessage  slope   `json:"cpu-us-per-peer-message-by-entries"`
+	CPUPerConfigRecord slope   `json:"cpu-us-per-config-record-by-services"`
+	CPUPerClaim        slope   `json:"cpu-us-per-claims-record-by-claims"`
+	BytesPerPeerEntry  slope   `json:"bytes-per-peer-message-by-entries"`
+	BytesPerClaim      slope   `json:"bytes-per-claims-record-by-claims"`
+	BytesOfConfig      slope   `json:"bytes-of-configuration-by-services"`
+	HeapPerTarget      slope   `json:"heap-bytes-by-targets"`
+	HeapPerClaim       slope   `json:"heap-bytes-by-claims-held"`
+	HeapPerPeer        slope   `json:"heap-bytes-by-members"`
+	HeapPerService     slope   `json:"heap-bytes-by-services"`
+	HeapPerOpenCall    slope   `json:"heap-bytes-by-open-calls"`
+	SentByNodes        slope   `json:"peer-bytes-per-second-sent-per-node-by-nodes"`
+	ReceivedByNodes    slope   `json:"peer-bytes-per-second-received-per-node-by-nodes"`
+	LogByNodes         slope   `json:"log-payload-bytes-per-second-read-per-node-by-nodes"`
+	AppendsByNodes     slope   `json:"log-appends-per-second-all-nodes-by-nodes"`
+	IdleCPUByNodes     slope   `json:"control-cpu-percent-of-core-per-node-by-nodes"`
+	SentByTargets      slope   `json:"peer-bytes-per-second-sent-per-node-by-targets"`
+	IdleCPUByTargets   slope   `json:"control-cpu-percent-of-core-per-node-by-targets"`
+	ListBytesPerVM     float64 `json:"bytes-of-list-per-vm"`
+}
+
+func TestCapacity(t *testing.T) {
+	if !*capacityFlag {
+		t.Skip("a measurement; run with -capacity")
+	}
+	r := Result{}
+	r.CPUPerPeerMessage, r.BytesPerPeerEntry = peerMessages()
+	r.CPUPerConfigRecord, r.BytesOfConfig = configRecords()
+	r.CPUPerClaim, r.BytesPerClaim = claimRecords()
+	r.HeapPerTarget = heapSlope([]int{24, 240, 1500}, targetTables)
+	r.HeapPerClaim = heapSlope([]int{1000, 10000, 100000}, claimsHeld)
+	r.HeapPerPeer = heapSlope([]int{10, 100, 1000}, members)
+	r.ListBytesPerVM = listBytes()
+	measureCalls(t, &r)
+	r.HeapPerService = servicesOfNode(t)
+	measureNodes(t, &r)
+	measureTargets(t, &r)
+	b, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := filepath.Join("..", "..", "out")
+	if err := os.MkdirAll(out, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(out, "capacity.json"), append(b, '\n'), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	plotSlopes(t, r, out)
+}
+
+// micros times f, in microseconds per call.
+func micros(f func()) float64 {
+	res := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			f()
+		}
+	})
+	return float64(res.T.Nanoseconds()) / float64(res.N) / 1000
+}
+
+func entries(n int) (out []member.Entry) {
+	for i := range n {
+		out = append(out, member.Entry{
+			Incarnation: member.Incarnation(i)*0x9e3779b97f4a7c15 + 7, Address: vm.Address(fmt.Sprintf("10.1.2.%d:8082", i)), Zone: "accra-ridge",
+			Beat: 123456, Status: member.Ready, ConfigNext: 123456, ConfigDigest: config.Digest(0x1234567890abcdef),
+		})
+	}
+	return out
+}
+
+func peerMessages() (cpu, bytes slope) {
+	var c, b []point
+	for _, n := range []int{4, 16, 64} {
+		list := entries(n)
+		table := member.NewTable(member.Entry{Incarnation: 1}, member.Settings{})
+		now := time.Now()
+		m := peer.Message{Entries: list}
+		b = append(b, point{float64(n), float64(len(m.Encode()))})
+		c = append(c, point{float64(n), micros(func() {
+			got, err := peer.Decode(m.Encode())
+			if err != nil {
+				panic(err)
+			}
+			table.Merge(now, got.Entries)
+		})})
+	}
+	return fit(c), fit(b)
+}
+
+func bigConfig(services int) *config.Configuration {
+	c := &config.Configuration{}
+	changes := []config.Change{{PutProfile: &profile.Profile{Name: "p"}}}
+	for i := range services {
+		changes = append(changes, config.Change{PutService: &service.Service{
+			Name: service.Name(fmt.Sprint("service-", i)), Profile: "p", PathPrefix: fmt.Sprint("/service-", i), Slots: 6, Connections: 200, ColdSlots: 1,
+		}})
+	}
+	next, err := config.Fold(c, stream.Record{Payload: config.EncodePublication(config.Publication{ID: "x", Changes: changes})})
+	if err != nil {
+		panic(err)
+	}
+	return next
+}
+
+func configRecords() (cpu, bytes slope) {
+	var c, b []point
+	for _, n := range []int{3, 30, 280} {
+		cfg := bigConfig(n)
+		change := config.EncodePublication(config.Publication{ID: "y", Base: cfg.Revision, Changes: []config.Change{{WithdrawZone: "z"}}})
+		c = append(c, point{float64(n), micros(func() {
+			next, err := config.Fold(cfg, stream.Record{Offset: cfg.Next, Payload: change})
+			if err != nil {
+				panic(err)
+			}
+			next.Digest()
+		})})
+		b = append(b, point{float64(n), float64(len(config.EncodeWhole(cfg)))})
+	}
+	return fit(c), fit(b)
+}
+
+func batch(n, from int) claim.Batch {
+	b := claim.Batch{Holder: 0x123456789abcdef}
+	for i := range n {
+		b.Requests = append(b.Requests, claim.Request{
+			Key: claim.DigestOf("khata", fmt.Sprint(from+i)), Fingerprint: claim.Fingerprint{1, 2, 3, 4, 5, 6, 7, 8}, Number: claim.Number(from + i), Window: 3600,
+		})
+	}
+	return b
+}
+
+func claimRecords() (cpu, bytes slope) {
+	var c, b []point
+	for _, n := range []int{1, 16, 128} {
+		payload := codec.Encode(batch(n, 0))
+		book := &claim.Book{}
+		rec := stream.Record{Time: time.Now(), Payload: payload}
+		b = append(b, point{float64(n), float64(len(payload))})
+		c = append(c, point{float64(n), micros(func() {
+			if err := book.Apply(rec); err != nil {
+				panic(err)
+			}
+		})})
+	}
+	return fit(c), fit(b)
+}
+
+// heap is the live heap in bytes.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// heapSlope measures what a thing of several sizes keeps on the heap.
+func heapSlope(sizes []int, build func(n int) any) slope {
+	var points []point
+	for _, n := range sizes {
+		before := heap()
+		kept := build(n)
+		points = append(points, point{float64(n), heap() - before})
+		runtime.KeepAlive(kept)
+	}
+	return fit(points)
+}
+
+func targetTables(n int) any {
+	table := target.NewTable(service.Service{Name: "s", Slots: 6}, target.Settings{})
+	var list []vm.VM
+	for i := range n {
+		list = append(list, vm.VM{ID: vm.ID(fmt.Sprint("target-", i)), Address: vm.Address(fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)), Zone: "z"})
+	}
+	table.SetList(time.Now(), list, func(vm.ID, zone.Name) bool { return false })
+	for _, v := range list {
+		table.Probed(v.ID, time.Now(), target.Report{Known: true, Instance: "abcdefgh", State: target.Live})
+	}
+	return table
+}
+
+func claimsHeld(n int) any {
+	book := &claim.Book{}
+	for i := 0; i < n; i += 100 {
+		rec := stream.Record{Offset: stream.Offset(i), Time: time.Now(), Payload: codec.Encode(batch(100, i))}
+		if err := book.Apply(rec); err != nil {
+			panic(err)
+		}
+	}
+	return book
+}
+
+func members(n int) any {
+	table := member.NewTable(member.Entry{Incarnation: 1}, member.Settings{})
+	table.Merge(time.Now(), entries(n))
+	return table
+}
+
+func listBytes() float64 {
+	const n = 1000
+	var list vm.List
+	for i := range n {
+		list.VMs = append(list.VMs, vm.VM{ID: vm.ID(fmt.Sprint("age-query-", i)), Role: vm.RoleTarget, Service: "age-query", Address: "10.0.100.200:8080", Zone: "accra-ridge", State: vm.StateLive})
+	}
+	b, err := json.Marshal(list)
+	if err != nil {
+		panic(err)
+	}
+	return float64(len(b)) / n
+}
+
+// countingLog counts what nodes read of the log.
+type countingLog struct {
+	*standin.Log
+	mu   sync.Mutex
+	read int64
+}
+
+func (l *countingLog) Read(ctx context.Context, name stream.Name, from stream.Offset, most int, wait time.Duration) (stream.Batch, error) {
+	b, err := l.Log.Read(ctx, name, from, most, wait)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range b.Records {
+		l.read += int64(len(r.Payload))
+	}
+	return b, err
+}
+
+// fleet is nodes and targets in this process, over loopback.
+type fleet struct {
+	log     *countingLog
+	list    *standin.List
+	nodes   []*node.Node
+	targets []*standin.Target
+}
+
+func newFleet(t *testing.T, nodes, targets, services int) *fleet {
+	t.Helper()
+	f := &fleet{log: &countingLog{Log: &standin.Log{}}, list: &standin.List{}}
+	for i := range targets {
+		each := standin.NewTarget(standin.TargetSettings{VM: vm.VM{
+			ID: vm.ID(fmt.Sprint("target-", i)), Role: vm.RoleTarget, Service: service.Name(fmt.Sprint("service-", i%services)),
+			Zone: zone.Name(fmt.Sprint("z", i%4)), State: vm.StateLive,
+		}, ServiceTime: time.Microsecond, ProbeTime: time.Microsecond})
+		if err := each.Listen("127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		f.targets = append(f.targets, each)
+		f.list.Put(each.VM())
+	}
+	for i := range nodes {
+		doc := settings.Defaults()
+		doc.Node = settings.NodeDocument{VM: fmt.Sprint("entry-", i), Zone: fmt.Sprint("z", i%4)}
+		doc.Listen = settings.ListenDocument{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0", Health: "127.0.0.1:0"}
+		cfg, err := settings.Check(doc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := node.New(cfg, node.Platform{Log: f.log, Lister: f.list}, zap.NewNop(), metrics.Discard())
+		if err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+		f.nodes = append(f.nodes, n)
+		f.list.Put(vm.VM{ID: cfg.VM, Role: vm.RoleEntry, Address: vm.Address(n.Addresses().Peers), Zone: cfg.Zone, State: vm.StateLive})
+	}
+	f.publish(t, services)
+	return f
+}
+
+func (f *fleet) publish(t *testing.T, services int) {
+	t.Helper()
+	doc := config.Document{Profiles: []profile.Document{{Name: "p", Idempotent: true}}}
+	for i := range services {
+		doc.Services = append(doc.Services, service.Document{Name: service.Name(fmt.Sprint("service-", i)), Profile: "p", PathPrefix: fmt.Sprint("/service-", i)})
+	}
+	client := operator.Client{URL: "http://" + f.nodes[0].Addresses().Operators}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		a, err := client.PublishDocument(t.Context(), doc)
+		if err == nil && a.Result == operator.Accepted {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("publication: got %+v %v, want it accepted", a, err)
+		}
+	}
+}
+
+func (f *fleet) close() {
+	var wg sync.WaitGroup
+	for _, n := range f.nodes {
+		wg.Go(n.Kill)
+	}
+	wg.Wait()
+	for _, each := range f.targets {
+		each.Close()
+	}
+}
+
+// usage is what the process has used.
+type usage struct {
+	cpu            time.Duration
+	sent, received int64
+	read           int64
+	appends        int
+	at             time.Time
+}
+
+func (f *fleet) usage(t *testing.T) (u usage) {
+	t.Helper()
+	u.cpu = processTime(t)
+	for _, n := range f.nodes {
+		traffic := n.Traffic()
+		u.sent += traffic.SentBytes
+		u.received += traffic.ReceivedBytes
+	}
+	f.log.mu.Lock()
+	u.read = f.log.read
+	f.log.mu.Unlock()
+	u.appends = f.log.Appends()
+	u.at = time.Now()
+	return u
+}
+
+func processTime(t *testing.T) time.Duration {
+	t.Helper()
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
+const (
+	// settleFor is how long a fleet settles, and watchFor how long it is
+	// measured while nothing happens.
+	settleFor = 12 * time.Second
+	watchFor  = 20 * time.Second
+)
+
+// idle measures a fleet on which nothing happens, per node and second.
+func (f *fleet) idle(t *testing.T) (sent, received, read, appends, cpuPercent float64) {
+	time.Sleep(settleFor)
+	a := f.usage(t)
+	time.Sleep(watchFor)
+	b := f.usage(t)
+	s, n := b.at.Sub(a.at).Seconds(), float64(len(f.nodes))
+	return float64(b.sent-a.sent) / s / n, float64(b.received-a.received) / s / n, float64(b.read-a.read) / s / n,
+		float64(b.appends-a.appends) / s, 100 * (b.cpu - a.cpu).Seconds() / s / n
+}
+
+func measureNodes(t *testing.T, r *Result) {
+	var sent, received, read, appends, cpu []point
+	for _, n := range []int{3, 10, 30, 100} {
+		f := newFleet(t, n, 24, 3)
+		s, rec, l, a, c := f.idle(t)
+		f.close()
+		x := float64(n)
+		sent, received, read = append(sent, point{x, s}), append(received, point{x, rec}), append(read, point{x, l})
+		appends, cpu = append(appends, point{x, a}), append(cpu, point{x, c})
+	}
+	r.SentByNodes, r.ReceivedByNodes, r.LogByNodes, r.AppendsByNodes, r.IdleCPUByNodes = fit(sent), fit(received), fit(read), fit(appends), fit(cpu)
+}
+
+func measureTargets(t *testing.T, r *Result) {
+	var sent, cpu []point
+	for _, n := range []int{24, 240, 1500} {
+		f := newFleet(t, 3, n, max(3, n*280/1500))
+		s, _, _, _, c := f.idle(t)
+		f.close()
+		sent, cpu = append(sent, point{float64(n), s}), append(cpu, point{float64(n), c})
+	}
+	r.SentByTargets, r.IdleCPUByTargets = fit(sent), fit(cpu)
+}
+
+// servicesOfNode measures what services keep in one node.
+func servicesOfNode(t *testing.T) slope {
+	var points []point
+	for _, n := range []int{3, 30, 280} {
+		before := heap()
+		f := newFleet(t, 1, 3, n)
+		time.Sleep(time.Second)
+		points = append(points, point{float64(n), heap() - before})
+		f.close()
+	}
+	return fit(points)
+}
+
+// measureCalls measures the processor time that a node adds to a call, and the
+// memory of open calls, in a process that holds callers and targets too.
+func measureCalls(t *testing.T, r *Result) {
+	f := newFleet(t, 1, 6, 1)
+	defer f.close()
+	time.Sleep(3 * time.Second)
+	through := "http://" + f.nodes[0].Addresses().Callers + "/service-0/x"
+	direct := "http://" + string(f.targets[0].VM().Address) + "/service-0/x"
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
+	flow(t, client, through, 2000)
+	flow(t, client, direct, 2000)
+	const rounds, calls = 5, 8000
+	var viaNode, straight time.Duration
+	for range rounds {
+		viaNode += flow(t, client, through, calls)
+		straight += flow(t, client, direct, calls)
+	}
+	per := func(d time.Duration) float64 { return float64(d.Microseconds()) / rounds / calls }
+	r.CPUPerCallDirect = per(straight)
+	r.CPUPerCall = per(viaNode) - per(straight)
+	r.HeapPerOpenCall = openCalls(t, f, through)
+}
+
+// flow sends calls from a few callers and returns the process's time.
+func flow(t *testing.T, client *http.Client, url string, calls int) time.Duration {
+	t.Helper()
+	before := processTime(t)
+	const workers = 4
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Go(func() {
+			for range calls / workers {
+				resp, err := client.Get(url)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode != http.StatusOK {
+					t.Errorf("status: got %d, want 200", resp.StatusCode)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return processTime(t) - before
+}
+
+// openCalls measures the heap of calls that are held open at slow targets;
+// callers' and targets' ends are in it too, so it is an upper bound.
+func openCalls(t *testing.T, f *fleet, url string) slope {
+	for _, each := range f.targets {
+		each.SetSlowness(2e6)
+	}
+	var points []point
+	before := heap()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	open := 0
+	for _, n := range []int{6, 18, 36} {
+		for ; open < n; open++ {
+			wg.Go(func() {
+				req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+				if err != nil {
+					return
+				}
+				if resp, err := http.DefaultClient.Do(req); err == nil {
+					resp.Body.Close()
+				}
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		points = append(points, point{float64(n), heap() - before})
+	}
+	cancel()
+	wg.Wait()
+	return fit(points)
+}
--- /dev/null
+++ b/proof/capacity/plot_test.go
@@ -0,0 +1,34 @@
+package capacity
+
+import (
+	"path/filepath"
+	"testing"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// plotSlopes draws the control traffic by the number of nodes.
+func plotSlopes(t *testing.T, r Result, out string) {
+	t.Helper()
+	p := plot.New()
+	p.Title.Text = "Control traffic of one node, nothing happening"
+	p.X.Label.Text = "nodes"
+	p.Y.Label.Text = "bytes per second"
+	p.Y.Min = 0
+	if err := plotutil.AddLinePoints(p, "sent to peers", xys(r.SentByNodes), "received from peers", xys(r.ReceivedByNodes), "read of the log", xys(r.LogByNodes)); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Save(8*vg.Inch, 5*vg.Inch, filepath.Join(out, "control-traffic.svg")); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func xys(s slope) (out plotter.XYs) {
+	for _, p := range s.Points {
+		out = append(out, plotter.XY{X: p.X, Y: p.Y})
+	}
+	return out
+}
--- a/standin/target.go
+++ b/standin/target.go
@@ -128,6 +128,11 @@
 	return t.settings.VM
 }
 
+// Slots is how many calls the target serves at once.
+func (t *Target) Slots() int {
+	return t.settings.Slots
+}
+
 // Listen starts serving on an address; port 0 takes a free one.
 func (t *Target) Listen(address string) (err error) {
 	l, err := net.Listen("tcp", address)
