--- /dev/null
+++ b/config/examples_test.go
@@ -0,0 +1,32 @@
+package config
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/apricotmount/apricotmount/document"
+)
+
+// TestExamples checks the committed publications of the two deployments.
+func TestExamples(t *testing.T) {
+	for _, name := range []string{"ghoshal", "adomako"} {
+		t.Run(name, func(t *testing.T) {
+			b, err := os.ReadFile("../examples/" + name + ".yaml")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var doc Document
+			if err := document.Decode(b, &doc); err != nil {
+				t.Fatal(err)
+			}
+			p, err := Prepare(&Configuration{}, doc, Facts{LogRetention: 24 * time.Hour})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, want := len(p.Changes), 6; got != want {
+				t.Errorf("changes: got %d, want %d", got, want)
+			}
+		})
+	}
+}
