Test links that go half open, and every log and chooser by one suite

Cause: the replaced link, the tokens and the dropping outbox had no test of their own; implementations of one interface were tested apart. Change: stream/streamtest and routing/routingtest hold the tests that every implementation runs; tests of budgets, latencies and links through a proxy that goes silent.

--- a/peer/hub.go
+++ b/peer/hub.go
@@ -48,6 +48,9 @@
 	Tick time.Duration
 	// DialTimeout bounds opening a link. Default 2 s.
 	DialTimeout time.Duration
+	// Silence is how long a link may say nothing before it is closed; each side
+	// says something about three times within it. Default 8 s.
+	Silence time.Duration
 }
 
 const (
@@ -55,6 +58,10 @@
 	defaultMaxLinks    = 32
 	defaultTick        = time.Second
 	defaultDialTimeout = 2 * time.Second
+	defaultSilence     = 8 * time.Second
+	// keepAliveShare is the part of the silence after which a link says
+	// something at least, as a divisor.
+	keepAliveShare = 3
 	// redialWait is how long an address that could not be reached is left alone.
 	redialWait = 3 * time.Second
 )
@@ -64,6 +71,7 @@
 	s.MaxLinks = cmp.Or(s.MaxLinks, defaultMaxLinks)
 	s.Tick = cmp.Or(s.Tick, defaultTick)
 	s.DialTimeout = cmp.Or(s.DialTimeout, defaultDialTimeout)
+	s.Silence = cmp.Or(s.Silence, defaultSilence)
 	return s
 }
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -15,10 +15,6 @@
 const (
 	// outboxLength is how many messages wait for a slow peer; more are dropped.
 	outboxLength = 16
-	// silence is how long a link may say nothing before it is closed.
-	silence = 8 * time.Second
-	// keepAlive is how often a link says something at least.
-	keepAlive = 2500 * time.Millisecond
 	// writeTimeout bounds the writing of one message.
 	writeTimeout = 4 * time.Second
 )
@@ -88,7 +84,7 @@
 }
 
 func (l *Link) readOne(ctx context.Context) (b []byte, err error) {
-	ctx, cancel := context.WithTimeout(ctx, silence)
+	ctx, cancel := context.WithTimeout(ctx, l.hub.Settings.withDefaults().Silence)
 	defer cancel()
 	_, b, err = l.conn.Read(ctx)
 	return b, err
@@ -110,6 +106,7 @@
 }
 
 func (l *Link) write(ctx context.Context) {
+	keepAlive := l.hub.Settings.withDefaults().Silence / keepAliveShare
 	ticker := time.NewTicker(keepAlive)
 	defer ticker.Stop()
 	defer l.ended()
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,78 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+func TestBudgetEarnsByCall(t *testing.T) {
+	b := &Budget{Settings: Settings{PerCall: 0.1, Burst: 5}}
+	spent := 0
+	for range 1000 {
+		b.Earn()
+		// Every call would like three further attempts.
+		for range 3 {
+			if b.Spend() {
+				spent++
+			}
+		}
+	}
+	if spent > 100 || spent < 90 {
+		t.Errorf("spent by 1000 calls: got %d, want about 100", spent)
+	}
+}
+
+func TestBudgetIsLostUnderLoad(t *testing.T) {
+	b := &Budget{Settings: Settings{PerCall: 1, Burst: 5}}
+	for range 10 {
+		b.Earn()
+	}
+	b.EarnPart(0)
+	if b.Spend() {
+		t.Error("spend after a call at full load: got a token, want none")
+	}
+}
+
+func TestHedgePart(t *testing.T) {
+	for _, tt := range []struct{ load, want float64 }{{0, 1}, {hedgeFullLoad, 1}, {(hedgeFullLoad + hedgeNoLoad) / 2, 0.5}, {hedgeNoLoad, 0}, {2, 0}} {
+		if got := HedgePart(tt.load); got < tt.want-1e-9 || got > tt.want+1e-9 {
+			t.Errorf("part at %.2f: got %.3f, want %.3f", tt.load, got, tt.want)
+		}
+	}
+}
+
+func TestAllowance(t *testing.T) {
+	a := NewAllowance(4)
+	if got := a.HandDown(); got != 2 {
+		t.Errorf("handed down of 4: got %d, want 2", got)
+	}
+	a.Charge(2)
+	if !a.Take() || !a.Take() || a.Take() {
+		t.Error("after a charge of 2 of 4: want two more and no third")
+	}
+	a.Charge(100)
+	if got := a.Spent(); got != 4 {
+		t.Errorf("spent: got %d, want 4", got)
+	}
+}
+
+func TestLatencies(t *testing.T) {
+	l := &Latencies{}
+	now := time.Date(2026, 12, 3, 4, 0, 0, 0, time.UTC)
+	if _, ok := l.Percentile(now, 95); ok {
+		t.Error("percentile of nothing: got one, want none")
+	}
+	for i := range 1000 {
+		l.Observe(now, time.Duration(i+1)*time.Millisecond)
+	}
+	got, ok := l.Percentile(now, 90)
+	if !ok || got < 850*time.Millisecond || got > 1000*time.Millisecond {
+		t.Errorf("90th percentile of 1 to 1000 ms: got %s %v, want about 900 ms", got, ok)
+	}
+	if _, ok := l.Percentile(now.Add(3*windowLength), 90); ok {
+		// One rotation keeps the old half; two forget it.
+		if _, ok := l.Percentile(now.Add(6*windowLength), 90); ok {
+			t.Error("percentile long after the last answer: got one, want none")
+		}
+	}
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,56 @@
+package routing_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/apricotmount/apricotmount/routing"
+	"github.com/apricotmount/apricotmount/routing/routingtest"
+)
+
+func TestChoosers(t *testing.T) {
+	for name, newChooser := range map[string]func() routing.Chooser{
+		"random":      func() routing.Chooser { return routing.Random{} },
+		"round robin": func() routing.Chooser { return &routing.RoundRobin{} },
+		"least own":   func() routing.Chooser { return routing.LeastOwn{} },
+		"least load":  func() routing.Chooser { return routing.LeastLoad{} },
+		"two choices": func() routing.Chooser { return routing.TwoChoices{} },
+		"exact":       func() routing.Chooser { return routing.Exact{} },
+	} {
+		t.Run(name, func(t *testing.T) { routingtest.TestChooser(t, newChooser) })
+	}
+}
+
+func TestLoad(t *testing.T) {
+	base := routing.Candidate{Own: 1, Others: 2, Slots: 6, SameZone: true, Slowness: 1}
+	tests := []struct {
+		name   string
+		change func(c *routing.Candidate)
+	}{
+		{"more own", func(c *routing.Candidate) { c.Own++ }},
+		{"more others", func(c *routing.Candidate) { c.Others++ }},
+		{"fewer slots", func(c *routing.Candidate) { c.Slots-- }},
+		{"another zone", func(c *routing.Candidate) { c.SameZone = false }},
+		{"slower", func(c *routing.Candidate) { c.Slowness = 2 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			worse := base
+			tt.change(&worse)
+			if worse.Load() <= base.Load() {
+				t.Errorf("load: got %.2f, want more than %.2f", worse.Load(), base.Load())
+			}
+			if got := (routing.LeastLoad{}).Choose([]routing.Candidate{worse, base}, rand.New(rand.NewPCG(1, 1))); got != 1 {
+				t.Errorf("chosen: got %d, want the better one", got)
+			}
+		})
+	}
+	// Another zone is preferred when the own one is a slot behind.
+	busy := base
+	busy.Own++
+	far := base
+	far.SameZone = false
+	if far.Load() >= busy.Load() {
+		t.Errorf("another zone, less loaded: got %.2f, want less than %.2f", far.Load(), busy.Load())
+	}
+}
--- /dev/null
+++ b/routing/routingtest/doc.go
@@ -0,0 +1,2 @@
+// Package routingtest holds the tests that every routing.Chooser must pass.
+package routingtest
--- /dev/null
+++ b/stream/streamtest/log.go
@@ -0,0 +1,105 @@
+package streamtest
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apricotmount/apricotmount/stream"
+)
+
+// quick is a wait that does not matter, and long one that must not be spent.
+const (
+	quick = 10 * time.Millisecond
+	long  = time.Minute
+)
+
+// TestLog runs the tests against a log without records.
+func TestLog(t *testing.T, newLog func(t *testing.T) stream.Log) {
+	t.Run("offsets", func(t *testing.T) { testOffsets(t, newLog(t)) })
+	t.Run("streams are apart", func(t *testing.T) { testApart(t, newLog(t)) })
+	t.Run("read", func(t *testing.T) { testRead(t, newLog(t)) })
+	t.Run("wait", func(t *testing.T) { testWait(t, newLog(t)) })
+	t.Run("cancel", func(t *testing.T) { testCancel(t, newLog(t)) })
+}
+
+func appendOne(t *testing.T, log stream.Log, name stream.Name, payload string) stream.Offset {
+	t.Helper()
+	o, err := log.Append(t.Context(), name, []byte(payload))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return o
+}
+
+func testOffsets(t *testing.T, log stream.Log) {
+	for i := range 5 {
+		if got, want := appendOne(t, log, "s", "x"), stream.Offset(i); got != want {
+			t.Errorf("offset: got %d, want %d", got, want)
+		}
+	}
+}
+
+func testApart(t *testing.T, log stream.Log) {
+	appendOne(t, log, "a", "x")
+	if got := appendOne(t, log, "b", "y"); got != 0 {
+		t.Errorf("offset in another stream: got %d, want 0", got)
+	}
+}
+
+func testRead(t *testing.T, log stream.Log) {
+	for i := range 10 {
+		appendOne(t, log, "s", fmt.Sprint(i))
+	}
+	b, err := log.Read(t.Context(), "s", 3, 4, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b.First != 0 || b.Next != 10 || len(b.Records) != 4 {
+		t.Fatalf("batch: got first %d, next %d, %d records, want 0, 10, 4", b.First, b.Next, len(b.Records))
+	}
+	var last time.Time
+	for i, r := range b.Records {
+		if r.Offset != stream.Offset(3+i) || !bytes.Equal(r.Payload, []byte(fmt.Sprint(3+i))) {
+			t.Errorf("record %d: got %d %q, want %d in order", i, r.Offset, r.Payload, 3+i)
+		}
+		if r.Time.Before(last) || r.Time.IsZero() {
+			t.Errorf("record %d: got time %s after %s, want it not to decrease", i, r.Time, last)
+		}
+		last = r.Time
+	}
+	b, err = log.Read(t.Context(), "s", 10, 4, quick)
+	if err != nil || len(b.Records) != 0 || b.Next != 10 {
+		t.Errorf("read at the end: got %+v %v, want no records", b, err)
+	}
+}
+
+func testWait(t *testing.T, log stream.Log) {
+	got := make(chan stream.Batch, 1)
+	go func() {
+		b, err := log.Read(t.Context(), "s", 0, 4, long)
+		if err != nil {
+			t.Error(err)
+		}
+		got <- b
+	}()
+	appendOne(t, log, "s", "x")
+	if b := <-got; len(b.Records) != 1 {
+		t.Errorf("records of a read that waited: got %d, want 1", len(b.Records))
+	}
+}
+
+func testCancel(t *testing.T, log stream.Log) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		_, err := log.Read(ctx, "s", 0, 4, long)
+		done <- err
+	}()
+	cancel()
+	if err := <-done; err == nil {
+		t.Error("error of a read that was cancelled: got none")
+	}
+}
--- a/target/evidence.go
+++ b/target/evidence.go
@@ -45,11 +45,18 @@
 	t.latency = average(t.latency, took.Seconds())
 	e.failures += latencyWeight * (0 - e.failures)
 	t.failures += latencyWeight * (0 - t.failures)
-	if e.trial > 0 {
-		e.trial--
+	t.endTrial(e)
+}
+
+// endTrial counts an answer of a target that was out. The lock must be held.
+func (t *Table) endTrial(e *entry) {
+	if e.trial == 0 {
+		return
 	}
+	e.trial--
 	if e.trial == 0 {
 		e.ejections = 0
+		t.note(e, NoteReturned)
 	}
 }
 
