Book refusals used as probes, doubt a list that lost most

The claims and cold-rights books held the same position twice. Change: the ledger grants each further try after a refusal (1000 a second and node by default); a list that lacks most targets, which answer, is doubted; stream.Cursor for folds that need nothing of expired records; one command body for zone and vm; the demonstration counts probes that no ledger granted. TestListThatLostMost fails without the change (1 target left of 6).

--- a/claim/book.go
+++ b/claim/book.go
@@ -63,40 +63,26 @@
 const bucketLength = 30 * time.Second
 
 // Book is the fold of the stream: who holds which key. It is a stream.Fold. Its
-// zero value is ready.
+// zero value is ready. Expired records are passed over: they are older than the
+// log's retention, which no key's window exceeds, so they hold nothing that
+// still counts.
 type Book struct {
+	stream.Cursor
 	// Decided, if set, is told of each request as it is folded, with the lock
 	// held.
 	Decided func(d Decision)
 
 	mu      sync.Mutex
-	next    stream.Offset
 	grants  map[Digest]Grant
 	buckets map[int64][]Digest
 	pruned  int64
 }
 
-// Next is the offset of the next record to read.
-func (b *Book) Next() stream.Offset {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.next
-}
-
-// Skip passes over expired records. They are older than the log's retention,
-// which no key's window exceeds, so they hold nothing that still counts.
-func (b *Book) Skip(first stream.Offset) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.next = max(b.next, first)
-	return nil
-}
-
 // Apply folds one record; one that cannot be decoded holds no claim.
 func (b *Book) Apply(rec stream.Record) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.next = rec.Offset + 1
+	b.Advance(rec)
 	var batch Batch
 	if err := codec.Decode(rec.Payload, &batch); err != nil {
 		return nil
--- a/coldstart/book.go
+++ b/coldstart/book.go
@@ -68,36 +68,22 @@
 }
 
 // Book is the fold of the stream. It is a stream.Fold; its zero value is ready.
+// Expired records are passed over: the log keeps records for much longer than
+// any lease lasts.
 type Book struct {
+	stream.Cursor
 	// Granted, if set, is told what each record won, with the lock held.
 	Granted func(g Granted)
 
 	mu     sync.Mutex
-	next   stream.Offset
 	shards [Shards]holding
 }
 
-// Next is the offset of the next record to read.
-func (b *Book) Next() stream.Offset {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.next
-}
-
-// Skip passes over expired records; the log keeps records for much longer than
-// any lease lasts.
-func (b *Book) Skip(first stream.Offset) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.next = max(b.next, first)
-	return nil
-}
-
 // Apply folds one record; one that cannot be decoded grants nothing.
 func (b *Book) Apply(rec stream.Record) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.next = rec.Offset + 1
+	b.Advance(rec)
 	var l Lease
 	if err := codec.Decode(rec.Payload, &l); err != nil {
 		return nil
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -276,9 +276,15 @@
 	}
 	r.countZoneOut(d.deployment.targets, d.out)
 	r.countTargets(d.deployment.targets, time.Since(d.began))
+	booked := 0
 	for _, n := range d.deployment.nodes {
 		r.PromisesBroken += int(n.Checks().Total())
+		booked += n.Measuring().Spent.Messages
 	}
+	for _, t := range d.deployment.targets {
+		r.UnbookedProbes += t.Totals().Probes
+	}
+	r.UnbookedProbes = max(0, r.UnbookedProbes-booked)
 	r.AddedP50, r.AddedP99 = d.added.Millis(50), d.added.Millis(99)
 	return r
 }
--- a/demo/result.go
+++ b/demo/result.go
@@ -29,12 +29,15 @@
 	CutByPlannedStop int `json:"cut-by-planned-stop"`
 	// NewWorkAfterZoneOut counts calls that targets of a withdrawn availability
 	// zone started later than the promised time after it.
-	NewWorkAfterZoneOut int     `json:"new-work-after-zone-out"`
-	ConfigReverted      int     `json:"config-reverted"`
-	ColdOverruns        int     `json:"cold-overruns"`
-	PromisesBroken      int     `json:"promises-broken"`
-	AddedP50            float64 `json:"added-p50-ms"`
-	AddedP99            float64 `json:"added-p99-ms"`
+	NewWorkAfterZoneOut int `json:"new-work-after-zone-out"`
+	ConfigReverted      int `json:"config-reverted"`
+	ColdOverruns        int `json:"cold-overruns"`
+	PromisesBroken      int `json:"promises-broken"`
+	// UnbookedProbes counts probes that targets saw beyond those in the nodes'
+	// measuring ledgers.
+	UnbookedProbes int     `json:"unbooked-probes"`
+	AddedP50       float64 `json:"added-p50-ms"`
+	AddedP99       float64 `json:"added-p99-ms"`
 	// LoadCost is the target time that measuring load took, in percent of all.
 	LoadCost float64 `json:"load-cost-percent"`
 }
@@ -154,6 +157,7 @@
 		{"new work in a zone 2 s after it went out", r.NewWorkAfterZoneOut},
 		{"configuration reverted", r.ConfigReverted},
 		{"cold target given more than it bears", r.ColdOverruns},
+		{"probes that no measuring budget granted", r.UnbookedProbes},
 		{"promises broken inside the program", r.PromisesBroken},
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 
 	"github.com/apricotmount/apricotmount/admission"
 	"github.com/apricotmount/apricotmount/invariant"
+	"github.com/apricotmount/apricotmount/measuring"
 	"github.com/apricotmount/apricotmount/outcome"
 	"github.com/apricotmount/apricotmount/profile"
 	"github.com/apricotmount/apricotmount/retry"
@@ -102,6 +103,9 @@
 type Dispatcher struct {
 	Counts Further
 	Checks *invariant.Checks
+	// Ledger bounds how often calls go on to another target after a refusal;
+	// nil bounds nothing.
+	Ledger *measuring.Ledger
 }
 
 // Won is an answered call; it must be given to Finish once.
@@ -164,6 +168,12 @@
 	w.end()
 }
 
+// mayTryOn books a refusal as the probe that it is; it reports false if the
+// measuring budget has no room for another.
+func (d *Dispatcher) mayTryOn() bool {
+	return d.Ledger == nil || d.Ledger.Spend(time.Now(), measuring.Cost{Refusals: 1})
+}
+
 func (d *Dispatcher) further(r outcome.RetryReason) {
 	if d.Counts != nil {
 		d.Counts.Further(r)
--- a/dispatch/race.go
+++ b/dispatch/race.go
@@ -190,7 +190,7 @@
 			return target.Place{}, nil, nil
 		}
 		answer, failure = h.run.attempt(ctx, place, 0)
-		if failure == nil || failure.Result != target.Refused {
+		if failure == nil || failure.Result != target.Refused || !h.run.d.mayTryOn() {
 			return place, answer, failure
 		}
 		avoid = append(avoid, place.Ref.ID)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -191,7 +191,7 @@
 	}
 	r.d.further(outcome.RetryTargetRefused)
 	r.tries++
-	if r.tries < triesPerRound {
+	if r.tries < triesPerRound && r.d.mayTryOn() {
 		return ""
 	}
 	// One refusal says that one target is full; a round of them, that there are
--- a/event/event.go
+++ b/event/event.go
@@ -64,7 +64,7 @@
 	LogBack     = add(301, "log-back", zap.InfoLevel, "The platform's log answers again.")
 	ListAway    = add(310, "list-away", zap.WarnLevel, "The platform's list of VMs does not answer; the last one stays in use.")
 	ListBack    = add(311, "list-back", zap.InfoLevel, "The platform's list of VMs answers again.")
-	ListDoubted = add(312, "list-doubted", zap.WarnLevel, "The list lost most of its VMs at once; the missing ones stay in use while they answer.")
+	ListDoubted = add(312, "list-doubted", zap.WarnLevel, "The list lacks most targets of a service, which answer; they stay in use until it is whole again.")
 )
 
 // The events of targets.
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -221,5 +221,7 @@
 		event.TargetReturned.Log(n.logger, fields...)
 	case target.NoteDoubted:
 		event.ReportsDoubted.Log(n.logger, fields...)
+	case target.NoteListDoubted:
+		event.ListDoubted.Log(n.logger, fields...)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -87,7 +87,7 @@
 		Directory:  n.fleet,
 		Pools:      n.fleet,
 		Claims:     claims{n.claims},
-		Dispatcher: &dispatch.Dispatcher{Checks: n.checks},
+		Dispatcher: &dispatch.Dispatcher{Checks: n.checks, Ledger: n.ledger},
 		Counts:     metrics.NewCalls(registry.Scope),
 		Settings:   entry.Settings{Protocol: s.TargetProtocol, CallerHeader: s.CallerHeader, ReplayBuffer: s.ReplayBuffer},
 	}
@@ -220,3 +220,8 @@
 func (n *Node) Traffic() peer.Traffic {
 	return n.hub.Traffic()
 }
+
+// Measuring is what measuring load has cost this node.
+func (n *Node) Measuring() measuring.Totals {
+	return n.ledger.Totals()
+}
--- a/operator/message.go
+++ b/operator/message.go
@@ -95,6 +95,7 @@
 	Messages   int    `json:"messages"`
 	Bytes      int64  `json:"bytes"`
 	TargetTime string `json:"target-time"`
+	Refusals   int    `json:"refusals"`
 	Forgone    int    `json:"forgone"`
 }
 
--- a/proof/model/world.go
+++ b/proof/model/world.go
@@ -142,7 +142,7 @@
 		Hedges:    &retry.Budget{Settings: retry.Settings{PerCall: retry.HedgesPerCall}},
 		Latencies: &retry.Latencies{},
 	}
-	n.disp = &dispatch.Dispatcher{Checks: w.Checks, Counts: w.Recorder}
+	n.disp = &dispatch.Dispatcher{Checks: w.Checks, Counts: w.Recorder, Ledger: n.Ledger}
 	n.Service.Table.SetList(time.Now(), list, func(vm.ID, zone.Name) bool { return false })
 	for _, t := range w.Targets {
 		n.bound[t.VM.ID] = 1
--- a/settings/document.go
+++ b/settings/document.go
@@ -62,6 +62,7 @@
 	Messages   float64 `yaml:"messages-per-second"`
 	Bytes      int     `yaml:"bytes-per-second"`
 	TargetTime string  `yaml:"target-time-per-second"`
+	Refusals   float64 `yaml:"refusals-per-second"`
 }
 
 // ClaimsDocument bounds what claims on idempotency keys take of the log.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -65,7 +65,7 @@
 		Platform:  PlatformDocument{Log: "http://127.0.0.1:9000", VMs: "http://127.0.0.1:9000", LogRetention: "24h0m0s", ListEvery: "2s"},
 		Stop:      StopDocument{Grace: "5s", Limit: "1m0s"},
 		Calls:     CallsDocument{MaxHeld: admission.DefaultCapacity, CallerHeader: "X-Forwarded-For", ReplayBufferBytes: 64 << 10, IdleTimeout: "1m0s", HeaderTimeout: "10s"},
-		Measuring: MeasuringDocument{Messages: 40, Bytes: 8192, TargetTime: "40ms"},
+		Measuring: MeasuringDocument{Messages: 40, Bytes: 8192, TargetTime: "40ms", Refusals: 1000},
 		Claims:    ClaimsDocument{FleetAppends: 150, Patience: "2s"},
 		TargetProtocol: ProtocolDocument{
 			InstanceHeader: p.InstanceHeader, StateHeader: p.StateHeader, InFlightHeader: p.InFlightHeader,
@@ -118,7 +118,7 @@
 		IdleTimeout:   r.Duration("calls.idle-timeout", doc.Calls.IdleTimeout, 0),
 		HeaderTimeout: r.Duration("calls.header-timeout", doc.Calls.HeaderTimeout, 0),
 		Measuring: measuring.Settings{
-			Messages: doc.Measuring.Messages, Bytes: unit.Bytes(doc.Measuring.Bytes),
+			Messages: doc.Measuring.Messages, Refusals: doc.Measuring.Refusals, Bytes: unit.Bytes(doc.Measuring.Bytes),
 			TargetTime: r.Duration("measuring.target-time-per-second", doc.Measuring.TargetTime, 0),
 		},
 		ClaimAppends:  doc.Claims.FleetAppends,
@@ -212,6 +212,7 @@
 	r.Within("claims.patience", s.ClaimPatience, 10*time.Millisecond, time.Minute)
 	positive(r, "measuring.messages-per-second", s.Measuring.Messages)
 	positive(r, "measuring.bytes-per-second", float64(s.Measuring.Bytes))
+	positive(r, "measuring.refusals-per-second", s.Measuring.Refusals)
 	positive(r, "measuring.target-time-per-second", s.Measuring.TargetTime.Seconds())
 	positive(r, "claims.fleet-appends-per-second", s.ClaimAppends)
 	for _, h := range []struct{ field, text string }{
--- a/target/table.go
+++ b/target/table.go
@@ -43,6 +43,7 @@
 	NoteEjected
 	NoteReturned
 	NoteDoubted
+	NoteListDoubted
 )
 
 const (
@@ -78,6 +79,7 @@
 	mu         sync.Mutex
 	svc        service.Service
 	entries    []*entry
+	doubted    bool
 	candidates []routing.Candidate
 	eligible   []*entry
 	rng        *rand.Rand
@@ -127,8 +129,9 @@
 		seen[v.ID] = true
 		t.takeListed(v)
 	}
+	doubted := t.doubtList(seen)
 	t.entries = slices.DeleteFunc(t.entries, func(e *entry) bool {
-		return !seen[e.ref.ID] && t.unlistedFor(e, now)
+		return !seen[e.ref.ID] && t.unlistedFor(e, now) && !doubted
 	})
 	for _, e := range t.entries {
 		if seen[e.ref.ID] {
@@ -139,6 +142,28 @@
 	slices.SortFunc(t.entries, func(a, b *entry) int { return strings.Compare(string(a.ref.ID), string(b.ref.ID)) })
 }
 
+// doubtList reports whether a list lacks most of the targets that this node
+// knows, some of which answer: then the list is doubted, and what it lacks stays
+// in use. The lock must be held.
+func (t *Table) doubtList(seen map[vm.ID]bool) bool {
+	missing, answering := 0, 0
+	for _, e := range t.entries {
+		if seen[e.ref.ID] {
+			continue
+		}
+		missing++
+		if e.consecutive == 0 && !e.lastAnswer.IsZero() {
+			answering++
+		}
+	}
+	doubted := 2*missing > len(t.entries) && 2*answering > missing
+	if doubted && !t.doubted {
+		t.note(&entry{ref: Ref{Service: t.svc.Name}}, NoteListDoubted)
+	}
+	t.doubted = doubted
+	return doubted
+}
+
 // takeListed adds or renews the entry of a listed VM. The lock must be held.
 func (t *Table) takeListed(v vm.VM) {
 	e := t.find(v.ID)
--- a/target/table_test.go
+++ b/target/table_test.go
@@ -251,6 +251,27 @@
 	}
 }
 
+// TestListThatLostMost lacks most targets while they answer, for long.
+func TestListThatLostMost(t *testing.T) {
+	f := newFixture(t, 6, Settings{})
+	grace := int(unlistedGrace / time.Millisecond)
+	f.SetList(at(1000), f.list[:1], none)
+	f.SetList(at(1000+10*grace), f.list[:1], none)
+	if got, want := len(f.Views(at(0))), 6; got != want {
+		t.Errorf("targets with a list that lost most: got %d, want %d", got, want)
+	}
+	f.share(at(1000+10*grace), 200, func(p Place) Result {
+		if p.Ref.ID == id(0) {
+			return Answered
+		}
+		return Broken
+	})
+	f.SetList(at(1000+11*grace), f.list[:1], none)
+	if got := len(f.Views(at(0))); got >= 6 {
+		t.Errorf("targets once the missing ones fail: got %d, want fewer than 6", got)
+	}
+}
+
 func TestWordsOfPeers(t *testing.T) {
 	tests := []struct {
 		name string
