Log the events of claims, hold nodes against a naive archive

Change: both events are logged on their turns; the reason is gone; the scenario configuration folds every record ever appended and compares each node with it.

--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -58,7 +58,8 @@
 	Ready func() bool
 	// Fleet is how many nodes share the appends; nil means one.
 	Fleet func() int
-	// Failed, if set, is told of appends that were not acknowledged.
+	// Failed, if set, is told of the first append in a row that was not
+	// acknowledged.
 	Failed func(err error)
 	Checks *invariant.Checks
 	// Book is the fold of the stream; its Decided is set by Start.
@@ -113,12 +114,12 @@
 	appendCtx, cancel := context.WithTimeout(ctx, cfg.AppendTimeout)
 	defer cancel()
 	_, err := c.Log.Append(appendCtx, Stream, codec.Encode(batch))
-	c.setAway(err != nil)
+	turned := c.setAway(err != nil)
 	if err != nil {
 		c.giveUp(batch)
-		if c.Failed != nil {
-			c.Failed(err)
-		}
+	}
+	if turned && err != nil && c.Failed != nil {
+		c.Failed(err)
 	}
 	return true
 }
@@ -206,11 +207,14 @@
 // are refused at once.
 const awayRetry = 500 * time.Millisecond
 
-func (c *Claimer) setAway(away bool) {
+// setAway notes how the latest append ended and reports whether that changed.
+func (c *Claimer) setAway(away bool) (turned bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	turned = c.away != away
 	c.away = away
 	c.tried = time.Now()
+	return turned
 }
 
 // refuseAtOnce reports whether the latest append failed and another try is not
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -213,7 +213,6 @@
 	outcome.KeyReused:      http.StatusUnprocessableEntity,
 	outcome.KeyTooOld:      http.StatusConflict,
 	outcome.KeyClaimed:     http.StatusConflict,
-	outcome.BodyTooLarge:   http.StatusRequestEntityTooLarge,
 	outcome.UpgradeRefused: http.StatusNotImplemented,
 	outcome.BodyBroken:     http.StatusBadRequest,
 	outcome.DeadlinePassed: http.StatusGatewayTimeout,
--- a/node/loops.go
+++ b/node/loops.go
@@ -170,9 +170,13 @@
 
 // watchPlatform tells when the log goes and comes, and keeps readiness.
 func (n *Node) watchPlatform(ctx context.Context) {
-	away := false
+	away, claimsReady := false, false
 	reported := ""
 	every(ctx, platformEvery, func() {
+		if !claimsReady && n.claimFollower.CaughtUp() {
+			claimsReady = true
+			event.ClaimsReady.Log(n.logger, zap.Int("held", n.claims.Book.Len()))
+		}
 		silent := time.Since(n.configFollower.Contact()) > awayAfter
 		if silent != away {
 			away = silent
--- a/node/node.go
+++ b/node/node.go
@@ -107,6 +107,7 @@
 		Log: n.platform.Log, Holder: self, Book: &claim.Book{}, Fleet: n.members.Fleet, Checks: n.checks,
 		Settings: claim.Settings{FleetAppends: n.settings.ClaimAppends, Patience: n.settings.ClaimPatience},
 		Ready:    func() bool { return n.claimFollower.CaughtUp() },
+		Failed:   func(err error) { event.ClaimsRefused.Log(n.logger, zap.Error(err)) },
 	}
 	n.claims.Start()
 }
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -38,7 +38,6 @@
 	ClaimsBehind      Reason = "claims-behind"
 	ClaimLapsed       Reason = "claim-lapsed"
 	CallerGone        Reason = "caller-gone"
-	BodyTooLarge      Reason = "body-too-large"
 	UpgradeRefused    Reason = "upgrade-refused"
 	BodyBroken        Reason = "body-broken"
 )
@@ -57,7 +56,7 @@
 	NoService, BadDeadline, DeadlinePassed, DeadlineTooClose, TooDeep, QueueFull, QueueTimeout,
 	DisplacedByUrgent, NodeFull, NoTarget, OnlyColdTargets, TargetsRefused, ConnectFailed, KeyMissing,
 	KeyInvalid, KeyReused, KeyTooOld, ClaimUnavailable, ClaimsBehind, ClaimLapsed, CallerGone,
-	BodyTooLarge, UpgradeRefused, BodyBroken,
+	UpgradeRefused, BodyBroken,
 }
 
 // UnknownReasons are all reasons why the outcome of a call is unknown.
--- a/proof/prove/configuration_test.go
+++ b/proof/prove/configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -89,6 +90,8 @@
 	log := &standin.Log{Retention: 3 * time.Minute}
 	ctx, cancel := context.WithCancel(context.Background())
 	go r.breakLog(ctx, log, 20*time.Second, 15*time.Second)
+	all := &archive{log: log}
+	go all.run(ctx)
 	nodes := make([]*follower, 3+r.rng.IntN(4))
 	for i := range nodes {
 		nodes[i] = newFollower(log)
@@ -125,6 +128,7 @@
 	exchange(r, nodes)
 	look(r, nodes)
 	ops.check(nodes)
+	all.check(r, nodes)
 	for _, n := range nodes {
 		n.cancel()
 	}
@@ -141,6 +145,80 @@
 	return best
 }
 
+// archive is the naive reader that nodes are held against: it keeps every
+// record of the stream for ever and folds them all from the first.
+type archive struct {
+	log *standin.Log
+
+	mu      sync.Mutex
+	records []stream.Record
+	lost    bool
+}
+
+// archiveEvery is how often the archive reads; records are kept for longer.
+const archiveEvery = time.Second
+
+func (a *archive) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		a.read()
+		time.Sleep(archiveEvery)
+	}
+}
+
+func (a *archive) read() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	from := stream.Offset(len(a.records))
+	b, err := a.log.Read(context.Background(), config.Stream, from, 1<<20, 0)
+	if err != nil {
+		return
+	}
+	if b.First > from {
+		a.lost = true
+		return
+	}
+	a.records = append(a.records, b.Records...)
+}
+
+// check folds all records and compares each node that has come as far.
+func (a *archive) check(r *run, nodes []*follower) {
+	a.read()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.lost {
+		r.fault("archive-lost-records")
+		return
+	}
+	digests := map[stream.Offset]config.Digest{}
+	c := &config.Configuration{}
+	for _, rec := range a.records {
+		next, err := config.Fold(c, rec)
+		if err != nil {
+			r.breach("the archive cannot fold record %d: %v", rec.Offset, err)
+			return
+		}
+		c = next
+		digests[c.Next] = c.Digest()
+	}
+	caughtUp := 0
+	for _, n := range nodes {
+		held := n.book.Current()
+		want, ok := digests[held.Next]
+		if !ok || !n.book.Known() {
+			continue
+		}
+		if held.Next == c.Next {
+			caughtUp++
+		}
+		if got := held.Digest(); got != want {
+			r.breach("a node at offset %d differs from the fold of all records", held.Next)
+		}
+	}
+	if caughtUp == 0 && len(a.records) > 0 {
+		r.breach("no node has come to the end of the stream")
+	}
+}
+
 // operators publish and keep what they were told.
 type operators struct {
 	r         *run
