--- a/config/config.go
+++ b/config/config.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/apricotmount/apricotmount/profile"
@@ -55,7 +54,7 @@
 	WithdrawnVMs   map[vm.ID]Withdrawal             `cbor:"withdrawn-vms"`
 	Verdicts       []Verdict                        `cbor:"verdicts"`
 
-	routes []service.Service
+	routes map[routeKey][]routed
 }
 
 // keptVerdicts is how many verdicts stay known, newest last.
@@ -89,36 +88,6 @@
 	return out
 }
 
-// Resolve returns the service of a request and its profile. Host matches go
-// before none, and longer path prefixes before shorter ones.
-func (c *Configuration) Resolve(host, path string) (s *service.Service, p *profile.Profile, ok bool) {
-	for i := range c.routes {
-		s := &c.routes[i]
-		if !s.Matches(host, path) {
-			continue
-		}
-		p, found := c.Profiles[s.Profile]
-		return s, &p, found
-	}
-	return nil, nil, false
-}
-
-// index prepares the order in which Resolve tries services.
-func (c *Configuration) index() {
-	c.routes = slices.SortedFunc(maps.Values(c.Services), func(a, b service.Service) int {
-		if (a.Host == "") != (b.Host == "") {
-			if a.Host != "" {
-				return -1
-			}
-			return 1
-		}
-		if d := len(b.PathPrefix) - len(a.PathPrefix); d != 0 {
-			return d
-		}
-		return strings.Compare(string(a.Name), string(b.Name))
-	})
-}
-
 func (c *Configuration) clone() *Configuration {
 	n := *c
 	n.Profiles = cloneMap(c.Profiles)
--- /dev/null
+++ b/config/route.go
@@ -0,0 +1,63 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/apricotmount/apricotmount/profile"
+	"github.com/apricotmount/apricotmount/service"
+)
+
+// routeKey is what services are looked up by: the host, and the first segment
+// of the path; either may be empty, which stands for any.
+type routeKey struct {
+	host, segment string
+}
+
+// routed is a service with its profile.
+type routed struct {
+	service service.Service
+	profile profile.Profile
+}
+
+// Resolve returns the service of a request and its profile. Host matches go
+// before none, and longer path prefixes before shorter ones.
+func (c *Configuration) Resolve(host, path string) (s *service.Service, p *profile.Profile, ok bool) {
+	segment := firstSegment(path)
+	for _, key := range [...]routeKey{{host, segment}, {host, ""}, {"", segment}, {"", ""}} {
+		list := c.routes[key]
+		for i := range list {
+			if r := &list[i]; r.service.Matches(host, path) {
+				return &r.service, &r.profile, true
+			}
+		}
+	}
+	return nil, nil, false
+}
+
+// index prepares the lists that Resolve looks through.
+func (c *Configuration) index() {
+	c.routes = map[routeKey][]routed{}
+	ordered := slices.SortedFunc(maps.Values(c.Services), func(a, b service.Service) int {
+		if d := len(b.PathPrefix) - len(a.PathPrefix); d != 0 {
+			return d
+		}
+		return strings.Compare(string(a.Name), string(b.Name))
+	})
+	for _, s := range ordered {
+		p, ok := c.Profiles[s.Profile]
+		if !ok {
+			continue
+		}
+		key := routeKey{s.Host, firstSegment(s.PathPrefix)}
+		c.routes[key] = append(c.routes[key], routed{service: s, profile: p})
+	}
+}
+
+// firstSegment is the part of a path up to its second slash, without the first.
+func firstSegment(path string) string {
+	path = strings.TrimPrefix(path, "/")
+	segment, _, _ := strings.Cut(path, "/")
+	return segment
+}
