Check claims by history, let open connections go silent in the stand-in

Cause: claims had no history checker, and the stand-in could only silence a whole target, not the connections open at a moment. Change: acquisitions and releases of each key are held against a model by porcupine where every claim was decided; apricotctl fault target ID hush; the stand-in target in two files.

--- a/cmd/apricotctl/try.go
+++ b/cmd/apricotctl/try.go
@@ -63,7 +63,7 @@
 
 type faultCommand struct {
 	At   string   `arg:"--at,env:APRICOT_STANDIN" default:"http://127.0.0.1:9000" help:"the stand-in's address"`
-	What []string `arg:"positional,required" help:"log down|up|slow D|lose-acks N, list down|up, target ID STATE|restart|slow F|fail|lie|silent|mend, totals"`
+	What []string `arg:"positional,required" help:"log down|up|slow D|lose-acks N, list down|up, target ID STATE|restart|slow F|fail|lie|hush|silent|mend, totals"`
 }
 
 func (c *faultCommand) run(ctx context.Context) error {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -432,6 +432,29 @@
 	return target.Unverified
 }
 
+// TestSilentConnections lets every open connection to every target go silent;
+// keyed calls are sent over new ones and done.
+func TestSilentConnections(t *testing.T) {
+	s := newSite(t, 1)
+	s.base()
+	for k := range 30 {
+		if _, err := s.call(0, fmt.Sprint("before-", k)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, each := range s.targets {
+		each.Hush()
+	}
+	// Longer than a connection stays proven.
+	time.Sleep(150 * time.Millisecond)
+	for k := range 30 {
+		got, err := s.call(0, fmt.Sprint("after-", k))
+		if want := "done "; err != nil || got != want {
+			t.Errorf("call %d: got %q %v, want %q", k, got, err, want)
+		}
+	}
+}
+
 // TestPorts keeps callers from the operators' and peers' endpoints, and
 // strangers from both.
 func TestPorts(t *testing.T) {
--- a/proof/prove/claims_test.go
+++ b/proof/prove/claims_test.go
@@ -6,9 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/anishathalye/porcupine"
+
 	"github.com/apricotmount/apricotmount/claim"
 	"github.com/apricotmount/apricotmount/invariant"
 	"github.com/apricotmount/apricotmount/member"
+	"github.com/apricotmount/apricotmount/outcome"
 	"github.com/apricotmount/apricotmount/standin"
 	"github.com/apricotmount/apricotmount/stream"
 )
@@ -47,10 +50,14 @@
 	return c
 }
 
-// ledger is what targets saw.
+// ledger is what targets saw, and what callers were told of their claims.
 type ledger struct {
 	mu    sync.Mutex
 	sends map[string][]time.Time
+	// history holds the claims and releases on each key; undecided the keys of
+	// which a claim may turn up after its call was refused.
+	history   map[string][]porcupine.Operation
+	undecided map[string]bool
 }
 
 func (l *ledger) send(key string) {
@@ -59,6 +66,56 @@
 	l.sends[key] = append(l.sends[key], time.Now())
 }
 
+// claimStep is one claim or release on a key, for the checker.
+type claimStep struct {
+	release bool
+}
+
+// claimModel: a key is held or free. A claim is granted if it is free, and
+// denied if it is held; a release frees it.
+var claimModel = porcupine.Model{
+	Init: func() any { return false },
+	Step: func(state, input, output any) (bool, any) {
+		held := state.(bool)
+		if input.(claimStep).release {
+			return held, false
+		}
+		granted := output.(bool)
+		return granted != held, held || granted
+	},
+}
+
+// note keeps what a claim came to. A release takes effect at some later time.
+func (l *ledger) note(key string, call time.Time, step claimStep, granted bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	end := time.Now().UnixNano()
+	if step.release {
+		end = call.Add(keyWindow).UnixNano()
+	}
+	l.history[key] = append(l.history[key], porcupine.Operation{
+		ClientId: len(l.history[key]), Input: step, Output: granted, Call: call.UnixNano(), Return: end,
+	})
+}
+
+// check holds the history of each key against the model, where all of it lies
+// within one window and every claim was decided.
+func (l *ledger) check(r *run) {
+	for key, ops := range l.history {
+		first, last := ops[0].Call, ops[0].Call
+		for _, op := range ops {
+			first, last = min(first, op.Call), max(last, op.Call)
+		}
+		if l.undecided[key] || time.Duration(last-first) > keyWindow/2 {
+			continue
+		}
+		r.checked++
+		if !porcupine.CheckOperations(claimModel, ops) {
+			r.breach("what callers were told of %s fits no order", key)
+		}
+	}
+}
+
 func playClaims(r *run, m mutation) {
 	log := &standin.Log{Retention: keyWindow}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -68,7 +125,7 @@
 		nodes[i] = newClaimer(log, i+1, len(nodes))
 	}
 	next := len(nodes) + 1
-	l := &ledger{sends: map[string][]time.Time{}}
+	l := &ledger{sends: map[string][]time.Time{}, history: map[string][]porcupine.Operation{}, undecided: map[string]bool{}}
 	var wg sync.WaitGroup
 	for step := range 300 {
 		time.Sleep(r.between(0, 2*time.Second))
@@ -101,6 +158,7 @@
 		n.cancel()
 	}
 	time.Sleep(30 * time.Second)
+	l.check(r)
 	for key, at := range l.sends {
 		for i := 1; i < len(at); i++ {
 			if at[i].Sub(at[i-1]) < keyWindow {
@@ -124,12 +182,23 @@
 		}
 		return
 	}
-	if c.Acquire(ctx).Reason != "" {
+	asked := time.Now()
+	switch got := c.Acquire(ctx); got.Reason {
+	case "":
+		l.note(key, asked, claimStep{}, true)
+	case outcome.KeyClaimed:
+		l.note(key, asked, claimStep{}, false)
+		return
+	default:
+		l.mu.Lock()
+		l.undecided[key] = true
+		l.mu.Unlock()
 		return
 	}
 	time.Sleep(pause)
 	if fails {
 		// No target could be reached; the call was not run.
+		l.note(key, time.Now(), claimStep{release: true}, false)
 		c.Release()
 		return
 	}
--- a/proof/prove/configuration_test.go
+++ b/proof/prove/configuration_test.go
@@ -358,6 +358,7 @@
 		// The model cannot place a publication that may have taken force.
 		return
 	}
+	o.r.checked++
 	if !porcupine.CheckOperations(publicationModel, o.history) {
 		o.r.breach("what operators were told fits no order")
 	}
--- a/proof/prove/prove_test.go
+++ b/proof/prove/prove_test.go
@@ -34,6 +34,7 @@
 	MutationsCaught  int            `json:"mutations-caught"`
 	MutationsMissed  int            `json:"mutations-missed"`
 	SeedsByScenario  map[string]int `json:"seeds-by-scenario"`
+	Histories        int            `json:"histories-checked"`
 	FailingSeedsShow []string       `json:"failing-seeds,omitempty"`
 
 	mu sync.Mutex
@@ -45,6 +46,7 @@
 	defer res.mu.Unlock()
 	res.Seeds++
 	res.SeedsByScenario[s.name]++
+	res.Histories += r.checked
 	for kind, n := range r.faults {
 		res.Faults[kind] += n
 	}
@@ -103,7 +105,10 @@
 
 // TestFixedSeeds is what CI runs.
 func TestFixedSeeds(t *testing.T) {
-	runSeeds(t, fixedSeeds)
+	res := runSeeds(t, fixedSeeds)
+	if res.Histories == 0 {
+		t.Error("histories checked: got 0, want some")
+	}
 }
 
 // TestMutations shows that each check can fail.
--- a/proof/prove/run_test.go
+++ b/proof/prove/run_test.go
@@ -20,6 +20,8 @@
 	mu       sync.Mutex
 	faults   map[string]int
 	breaches []string
+	// checked is how many histories a checker has judged.
+	checked int
 }
 
 func newRun(seed uint64) *run {
--- a/standin/control.go
+++ b/standin/control.go
@@ -138,6 +138,8 @@
 		t.SetFailing(true)
 	case "lie":
 		t.SetLying(true)
+	case "hush":
+		t.Hush()
 	case "silent":
 		t.SetSilent(true)
 	case "mend":
@@ -154,7 +156,7 @@
 	default:
 		state := target.ParseState(what)
 		if state == target.Unverified {
-			return eris.Errorf("%q is not one of live, cold, draining, leaving, restart, slow, fail, lie, silent, mend", what)
+			return eris.Errorf("%q is not one of live, cold, draining, leaving, restart, slow, fail, lie, hush, silent, mend", what)
 		}
 		t.SetState(state)
 	}
--- a/standin/target.go
+++ b/standin/target.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -16,7 +12,6 @@
 
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/vm"
-	"github.com/apricotmount/apricotmount/wire"
 )
 
 // HeaderCall names a call, so that the target's ledger can be held against the
@@ -67,10 +62,6 @@
 	}
 }
 
-// coldCollapse is how many times slower a cold target is when it gets more than
-// it can bear.
-const coldCollapse = 20
-
 // Started is one call that a target started, in its ledger.
 type Started struct {
 	Call     string
@@ -106,7 +97,9 @@
 	rng      *rand.Rand
 	server   *http.Server
 	conns    map[net.Conn]bool
-	latest   time.Time
+	// hushed are connections that stay open and say nothing more.
+	hushed map[net.Conn]bool
+	latest time.Time
 }
 
 // NewTarget returns a warm target that does not listen yet.
@@ -120,6 +113,7 @@
 		slowness: 1,
 		rng:      rand.New(rand.NewPCG(s.Seed, 1)),
 		conns:    map[net.Conn]bool{},
+		hushed:   map[net.Conn]bool{},
 	}
 }
 
@@ -142,7 +136,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.settings.VM.Address = vm.Address(l.Addr().String())
-	t.server = &http.Server{Handler: t, ConnState: t.noteConn}
+	t.server = &http.Server{Handler: t, ConnState: t.noteConn, ConnContext: withConn}
 	go t.server.Serve(l)
 	return nil
 }
@@ -155,9 +149,35 @@
 		t.conns[c] = true
 	case http.StateClosed, http.StateHijacked:
 		delete(t.conns, c)
+		delete(t.hushed, c)
+	}
+}
+
+// connKey finds a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Hush makes the connections open now go silent for good, while new ones work,
+// as happens when something between the ends loses track of them.
+func (t *Target) Hush() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		t.hushed[c] = true
 	}
 }
 
+// isHushed reports whether a request came over a connection that went silent.
+func (t *Target) isHushed(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(net.Conn)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return ok && t.hushed[c]
+}
+
 // Close ends the target at once, as a failing VM does.
 func (t *Target) Close() {
 	t.mu.Lock()
@@ -242,151 +262,3 @@
 	defer t.mu.Unlock()
 	return t.latest
 }
-
-// ServeHTTP answers calls and probes.
-func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == wire.DefaultProtocol.LoadPath {
-		t.serveProbe(w)
-		return
-	}
-	admitted, silent := t.admit()
-	if silent {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
-	if !admitted {
-		t.refuse(w)
-		return
-	}
-	defer t.leave()
-	t.serveCall(w, r)
-}
-
-func (t *Target) serveProbe(w http.ResponseWriter) {
-	time.Sleep(t.settings.ProbeTime)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.totals.Probes++
-	t.totals.ProbeTime += t.settings.ProbeTime
-	t.report(w.Header())
-	w.WriteHeader(http.StatusOK)
-}
-
-// admit opens a call unless the target is full or takes none.
-func (t *Target) admit() (admitted, silent bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.silent {
-		return false, true
-	}
-	t.warm()
-	if t.state == target.Draining || t.state == target.Leaving || t.open >= t.settings.Slots+t.settings.Queue {
-		t.totals.Refused++
-		return false, false
-	}
-	t.open++
-	return true, false
-}
-
-// warm ends a cold start whose time is over. The lock must be held.
-func (t *Target) warm() {
-	if t.state == target.Cold && !time.Now().Before(t.warmAt) {
-		t.state = target.Live
-	}
-}
-
-func (t *Target) leave() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.open--
-}
-
-func (t *Target) refuse(w http.ResponseWriter) {
-	t.mu.Lock()
-	t.report(w.Header())
-	t.mu.Unlock()
-	w.Header().Set(wire.DefaultProtocol.RefusalHeader, wire.DefaultProtocol.RefusalValue)
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
-// report states the load. The lock must be held.
-func (t *Target) report(h http.Header) {
-	t.warm()
-	open, state := t.open, t.state
-	if t.lying {
-		open, state = 0, target.Live
-	}
-	p := wire.DefaultProtocol
-	h.Set(p.InstanceHeader, t.instance)
-	h.Set(p.StateHeader, state.String())
-	h.Set(p.InFlightHeader, strconv.Itoa(open))
-}
-
-func (t *Target) serveCall(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	t.slots <- struct{}{}
-	defer func() { <-t.slots }()
-	call, d, failing := t.start(r.Header.Get(HeaderCall))
-	if failing {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
-	if !work(r.Context(), d) {
-		panic(http.ErrAbortHandler)
-	}
-	t.finish(call, w.Header())
-	w.Header().Set("Content-Length", strconv.Itoa(t.settings.AnswerBytes))
-	answer := fmt.Appendf(nil, "%s %d ", call.Call, len(body))
-	w.Write(pad(answer, t.settings.AnswerBytes))
-}
-
-// start enters a call into the ledger and draws how long it takes.
-func (t *Target) start(id string) (call *Started, d time.Duration, failing bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := time.Now()
-	call = &Started{Call: id, At: now, Target: t.settings.VM.ID}
-	t.calls = append(t.calls, call)
-	t.totals.Started++
-	t.latest = now
-	sigma := t.settings.Spread
-	d = time.Duration(float64(t.settings.ServiceTime) * math.Exp(sigma*t.rng.NormFloat64()-sigma*sigma/2) * t.slowness)
-	t.warm()
-	if t.state == target.Cold && t.open > t.settings.ColdSlots {
-		t.totals.ColdOverruns++
-		d *= coldCollapse
-	}
-	return call, d, t.failing
-}
-
-func (t *Target) finish(call *Started, h http.Header) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	call.Finished = true
-	call.Took = time.Since(call.At)
-	t.totals.Finished++
-	t.totals.WorkTime += call.Took
-	t.report(h)
-}
-
-// work takes its time unless the call is cancelled.
-func work(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func pad(b []byte, n int) []byte {
-	for len(b) < n {
-		b = append(b, '.')
-	}
-	return b[:n]
-}
