Keep cold targets served while the log is away

Cause: leases lapsed 30 s after the log went, and with all targets of a service cold nobody might send to any. Ruled out: a majority of nodes (the users rule out a consensus group), longer leases (after all nodes die at once cold targets would wait for them), shares of the wall clock (nobody promises that clocks agree). Change: a holder goes on while every other node has promised, since it was asked, to take nothing over.

--- a/coldstart/book.go
+++ b/coldstart/book.go
@@ -59,12 +59,17 @@
 type holding struct {
 	holder member.Incarnation
 	until  time.Time
+	// freed says that the last holder gave the shard back.
+	freed bool
 }
 
 // Granted is what a record won.
 type Granted struct {
 	Lease  Lease
 	Shards Set
+	// Clean are those of the shards that nobody can be using: nobody ever held
+	// them, or the last holder gave them back.
+	Clean Set
 }
 
 // Book is the fold of the stream. It is a stream.Fold; its zero value is ready.
@@ -88,31 +93,49 @@
 	if err := codec.Decode(rec.Payload, &l); err != nil {
 		return nil
 	}
-	won := b.fold(l, rec.Time)
+	g := b.fold(l, rec.Time)
 	if b.Granted != nil {
-		b.Granted(Granted{Lease: l, Shards: won})
+		b.Granted(g)
 	}
 	return nil
 }
 
-func (b *Book) fold(l Lease, at time.Time) (won Set) {
+func (b *Book) fold(l Lease, at time.Time) (g Granted) {
+	g.Lease = l
 	until := at.Add(time.Duration(l.Length) * time.Millisecond)
 	for i := range b.shards {
 		n := Shard(i)
 		h := &b.shards[i]
 		mine := h.holder == l.Holder
 		if mine && l.Freed.Has(n) {
-			*h = holding{}
+			*h = holding{freed: true}
 		}
 		if !l.Shards.Has(n) {
 			continue
 		}
-		if mine || !h.until.After(at) {
-			*h = holding{holder: l.Holder, until: until}
-			won.Add(n)
+		if !mine && h.until.After(at) {
+			continue
+		}
+		if b.clean(n) {
+			g.Clean.Add(n)
 		}
+		*h = holding{holder: l.Holder, until: until}
+		g.Shards.Add(n)
 	}
-	return won
+	return g
+}
+
+// clean reports whether nobody can be using a shard. The lock must be held.
+func (b *Book) clean(n Shard) bool {
+	h := b.shards[n]
+	return h.freed || h.holder == 0 && !b.Skipped()
+}
+
+// Clean reports whether nobody can be using a shard.
+func (b *Book) Clean(n Shard) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.clean(n)
 }
 
 // Holder returns who held a shard last, and until when by the log's clock.
--- a/coldstart/keeper.go
+++ b/coldstart/keeper.go
@@ -21,12 +21,25 @@
 	LeasePerNode time.Duration
 	// AppendTimeout bounds one append. Default 2 s.
 	AppendTimeout time.Duration
+	// Promise is how long a promise to a holder lasts; see Ask. Default 45 s: a node that
+	// died is off the list by then, so that its silence does not end the rights of
+	// others.
+	Promise time.Duration
+	// Settle is how long a new node takes nothing over from another. An extension
+	// that a holder asked for while it could not know of the node must have ended
+	// by then: it may have asked until the platform's list, which lags by up to
+	// 30 s and may have been read a while ago, showed the node. Default 40 s more
+	// than Promise.
+	Settle time.Duration
 }
 
 const (
 	defaultLease         = 30 * time.Second
 	defaultLeasePerNode  = 1200 * time.Millisecond
 	defaultAppendTimeout = 2 * time.Second
+	defaultPromise       = 45 * time.Second
+	// unlistedFor is the most time for which a holder may not know of a node.
+	unlistedFor = 40 * time.Second
 	// renewals is how often a lease is renewed while it lasts.
 	renewals = 3
 	// marginShare is the part of a lease, as a divisor, that its holder does not
@@ -41,6 +54,12 @@
 	if s.LeasePerNode == 0 {
 		s.LeasePerNode = defaultLeasePerNode
 	}
+	if s.Promise == 0 {
+		s.Promise = defaultPromise
+	}
+	if s.Settle == 0 {
+		s.Settle = s.Promise + unlistedFor
+	}
 	if s.AppendTimeout == 0 {
 		s.AppendTimeout = defaultAppendTimeout
 	}
@@ -77,6 +96,14 @@
 	return r.usable - r.sent.elapsed(now)
 }
 
+// later is whichever of two rights lasts longer.
+func (r right) later(other right, now time.Time) right {
+	if other.left(now) > r.left(now) {
+		return other
+	}
+	return r
+}
+
 // Keeper renews the leases that fall to one node. It is a target.Rights.
 type Keeper struct {
 	Log      stream.Log
@@ -85,6 +112,9 @@
 	Book     *Book
 	// Live returns the live members, the node itself included.
 	Live func() []member.Entry
+	// Ready reports whether the book has been read to the stream's end; nil
+	// means that it has.
+	Ready func() bool
 	// Failed, if set, is told of appends that were not acknowledged.
 	Failed func(err error)
 
@@ -93,6 +123,10 @@
 	sent    map[uint64]instant
 	held    [Shards]right
 	leaving bool
+	started instant
+	// promised is when this node last promised to take nothing over.
+	promised instant
+	ask      ask
 }
 
 // Start prepares the keeper; Run renews until ctx ends.
@@ -100,6 +134,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.sent = map[uint64]instant{}
+	k.started = instantOf(time.Now())
 	k.Book.Granted = k.granted
 }
 
@@ -129,17 +164,40 @@
 	return max(cfg.Lease, time.Duration(len(k.Live()))*cfg.LeasePerNode)
 }
 
-// wanted returns the shards that fall to this node among the live members.
+// wanted returns the shards to ask for: of those that fall to this node among
+// the live members, the ones it holds and the ones it may take.
 func (k *Keeper) wanted() (s Set) {
+	if k.Ready != nil && !k.Ready() {
+		return s
+	}
 	live := k.Live()
+	now := instantOf(time.Now())
 	for i := range Shards {
-		if member.Owner(live, uint64(i)) == k.Holder {
-			s.Add(Shard(i))
+		n := Shard(i)
+		if member.Owner(live, uint64(i)) != k.Holder {
+			continue
 		}
+		clean := k.Book.Clean(n)
+		k.mu.Lock()
+		if k.held[i].left(now.mono) > 0 || k.mayTake(now, clean) {
+			s.Add(n)
+		}
+		k.mu.Unlock()
 	}
 	return s
 }
 
+// mayTake reports whether a shard that this node does not hold may be taken by
+// a record sent at the given instant: not while a promise lasts, and by a new
+// node only if nobody can be using it. The lock must be held.
+func (k *Keeper) mayTake(sent instant, clean bool) bool {
+	cfg := k.Settings.withDefaults()
+	if k.promised != (instant{}) && sent.mono.Sub(k.promised.mono) < cfg.Promise {
+		return false
+	}
+	return clean || sent.mono.Sub(k.started.mono) >= cfg.Settle
+}
+
 // append sends one record; what it won is learnt from the stream.
 func (k *Keeper) append(ctx context.Context, l Lease) {
 	cfg := k.Settings.withDefaults()
@@ -194,9 +252,14 @@
 	}
 	delete(k.sent, g.Lease.Number)
 	length := time.Duration(g.Lease.Length) * time.Millisecond
+	now := time.Now()
 	for i := range k.held {
-		if g.Shards.Has(Shard(i)) && !k.leaving {
-			k.held[i] = right{sent: sent, usable: length - length/marginShare}
+		n := Shard(i)
+		if !g.Shards.Has(n) || k.leaving {
+			continue
+		}
+		if k.held[i].left(now) > 0 || k.mayTake(sent, g.Clean.Has(n)) {
+			k.held[i] = k.held[i].later(right{sent: sent, usable: length - length/marginShare}, now)
 		}
 	}
 }
--- a/member/member.go
+++ b/member/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
@@ -202,6 +203,18 @@
 	return live
 }
 
+// View stands for a set of live members: equal sets give equal views.
+type View uint64
+
+// View is what this node sees of the membership.
+func (t *Table) View() View {
+	var buf []byte
+	for _, e := range t.Live() {
+		buf = binary.LittleEndian.AppendUint64(buf, uint64(e.Incarnation))
+	}
+	return View(xxhash.Sum64(buf))
+}
+
 // Fleet is how many nodes there may be: the larger of those heard and those
 // listed. Shares of what all nodes have together are taken by it.
 func (t *Table) Fleet() int {
@@ -267,9 +280,7 @@
 
 func weight(a, b uint64) uint64 {
 	var buf [16]byte
-	for i := range 8 {
-		buf[i] = byte(a >> (8 * i))
-		buf[8+i] = byte(b >> (8 * i))
-	}
+	binary.LittleEndian.PutUint64(buf[:8], a)
+	binary.LittleEndian.PutUint64(buf[8:], b)
 	return xxhash.Sum64(buf[:])
 }
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -35,9 +35,11 @@
 
 	current atomic.Pointer[directory]
 
-	mu    sync.Mutex
-	list  vm.List
-	pools map[vm.ID]*wire.Pool
+	mu   sync.Mutex
+	list vm.List
+	// listAt is when the list was last read.
+	listAt time.Time
+	pools  map[vm.ID]*wire.Pool
 	// temporary holds the temporary withdrawals by their IDs.
 	temporary map[string]withdrawal
 }
@@ -106,7 +108,7 @@
 func (f *fleet) setList(list vm.List) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.list = list
+	f.list, f.listAt = list, time.Now()
 	f.refresh()
 }
 
--- a/node/host.go
+++ b/node/host.go
@@ -14,7 +14,7 @@
 )
 
 // toldEntries is how many members one message tells of.
-const toldEntries = 16
+const toldEntries = 10
 
 // host is the node as its hub sees it.
 type host struct{ n *Node }
@@ -40,6 +40,7 @@
 	if len(m.Config) > 0 {
 		n.takeConfig(m.Config)
 	}
+	n.hearHolds(m, l)
 	n.hearWords(m.Words, l)
 	n.hearWithdrawals(m.Withdrawals, l)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -99,6 +99,7 @@
 
 func (n *Node) assembleRights(self member.Incarnation) {
 	n.rights = &coldstart.Keeper{Log: n.platform.Log, Holder: self, Book: &coldstart.Book{}, Live: n.members.Live}
+	n.rights.Ready = func() bool { return n.rightFollower.CaughtUp() }
 	n.rights.Start()
 }
 
@@ -141,7 +142,7 @@
 		zap.String("peers", addresses.Peers), zap.String("health", addresses.Health))
 	for _, loop := range []func(context.Context){
 		n.configFollower.Run, n.claimFollower.Run, n.rightFollower.Run, n.claims.Run, n.rights.Run, n.hub.Run,
-		n.watchList, n.watchMembers, n.watchPlatform, n.watchPauses, n.writeSnapshots, n.probe, n.sweep,
+		n.watchList, n.watchMembers, n.watchPlatform, n.watchPauses, n.extendRights, n.writeSnapshots, n.probe, n.sweep,
 	} {
 		n.loops.Go(func() { loop(n.ctx) })
 	}
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -89,6 +89,7 @@
 	Addresses func() []vm.Address
 
 	sent, received, messages, dropped atomic.Int64
+	dialAll                           atomic.Bool
 
 	mu      sync.Mutex
 	links   []*Link
@@ -141,6 +142,11 @@
 	}
 }
 
+// SetDialAll makes the hub keep a link to every address, or to a few again.
+func (h *Hub) SetDialAll(all bool) {
+	h.dialAll.Store(all)
+}
+
 // Links returns the open links.
 func (h *Hub) Links() []*Link {
 	h.mu.Lock()
@@ -165,6 +171,9 @@
 	defer h.mu.Unlock()
 	linked := h.dialledLocked()
 	missing := cfg.Dialled - len(linked) - len(h.dialing)
+	if h.dialAll.Load() {
+		missing = len(addresses)
+	}
 	// Each node prefers other peers, so that the links form one mesh.
 	slices.SortFunc(addresses, func(a, b vm.Address) int { return cmp.Compare(h.preference(a), h.preference(b)) })
 	now := time.Now()
--- a/peer/message.go
+++ b/peer/message.go
@@ -43,6 +43,19 @@
 	Ended bool `cbor:"4,keyasint,omitempty"`
 }
 
+// Hold asks a node to take over no right to cold targets for a while.
+type Hold struct {
+	Nonce uint64 `cbor:"1,keyasint"`
+}
+
+// Held is the answer to a Hold: the promise, and what the node sees of the
+// membership.
+type Held struct {
+	Nonce uint64             `cbor:"1,keyasint"`
+	From  member.Incarnation `cbor:"2,keyasint"`
+	View  member.View        `cbor:"3,keyasint"`
+}
+
 // Message is all that nodes say to each other; unknown fields of newer versions
 // are passed over.
 type Message struct {
@@ -51,6 +64,8 @@
 	WantConfig  bool           `cbor:"3,keyasint,omitempty"`
 	Config      []byte         `cbor:"4,keyasint,omitempty"`
 	Withdrawals []Withdrawal   `cbor:"5,keyasint,omitempty"`
+	Hold        *Hold          `cbor:"6,keyasint,omitempty"`
+	Held        *Held          `cbor:"7,keyasint,omitempty"`
 }
 
 // Encode returns the message as bytes.
--- a/target/evidence.go
+++ b/target/evidence.go
@@ -155,8 +155,12 @@
 	if s == Cold {
 		e.coldSince = now
 	}
+	n := NoteState
+	if e.state+s == Unverified+Live {
+		n = NoteVerified
+	}
 	e.state = s
-	t.note(e, NoteState)
+	t.note(e, n)
 }
 
 // Probed takes the report of a probe, or of a connection that was verified
--- a/target/table.go
+++ b/target/table.go
@@ -39,6 +39,9 @@
 // The notes.
 const (
 	NoteState Note = iota
+	// NoteVerified is a change between unverified and live, which is not worth
+	// telling others.
+	NoteVerified
 	NoteInstance
 	NoteEjected
 	NoteReturned
