Do not take back what a leaving node has freed

Cause: a node that had given its shards back at a planned stop went on asking for them until it ended; the log then held them for a lease for nobody. And a stop that had cut calls off freed shards at which those calls might still run. Change: a leaving keeper asks for nothing; a forced stop frees nothing; reads of the claims wait 10 s, since nobody judges the log by them.

--- a/coldstart/keeper.go
+++ b/coldstart/keeper.go
@@ -179,6 +179,10 @@
 		}
 		clean := k.Book.Clean(n)
 		k.mu.Lock()
+		if k.leaving {
+			k.mu.Unlock()
+			return Set{}
+		}
 		if k.held[i].left(now.mono) > 0 || k.mayTake(now, clean) {
 			s.Add(n)
 		}
--- a/coldstart/keeper_test.go
+++ b/coldstart/keeper_test.go
@@ -173,6 +173,22 @@
 	})
 }
 
+// TestGivenBackIsNotTakenAgain lets a node go on running after it gave its
+// shards back.
+func TestGivenBackIsNotTakenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newNode(t, &standin.Log{}, 1, 1)
+		time.Sleep(defaultLease)
+		a.keeper.GiveBack(t.Context())
+		time.Sleep(2 * defaultLease)
+		for i := range Shards {
+			if !a.keeper.Book.Clean(Shard(i)) {
+				t.Fatalf("shard %d was taken again by the node that is leaving", i)
+			}
+		}
+	})
+}
+
 // TestPause stands still for longer than the lease; the holder has none after.
 func TestPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -115,10 +115,14 @@
 
 func (n *Node) assembleFollowers() {
 	n.configFollower = &stream.Follower{Log: n.platform.Log, Name: config.Stream, Fold: n.book, Failed: n.followFailed}
-	n.claimFollower = &stream.Follower{Log: n.platform.Log, Name: claim.Stream, Fold: n.claims.Book}
+	n.claimFollower = &stream.Follower{Log: n.platform.Log, Name: claim.Stream, Fold: n.claims.Book, Settings: stream.Settings{Wait: quietWait}}
 	n.rightFollower = &stream.Follower{Log: n.platform.Log, Name: coldstart.Stream, Fold: n.rights.Book}
 }
 
+// quietWait is how long a read of the claims waits; nobody judges the log by it,
+// so it need not return often where there are none.
+const quietWait = 10 * time.Second
+
 // broken logs and counts each broken promise.
 func (n *Node) broken(count func(invariant.Name)) func(invariant.Name) {
 	return func(name invariant.Name) {
@@ -213,7 +217,7 @@
 	return s.listener.Addr().String()
 }
 
-// pool is the node's bound on calls held.
+// newPool returns the bound on the calls that the node holds.
 func newPool(s settings.Settings) *admission.Pool {
 	return admission.NewPool(s.MaxHeld)
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -18,10 +18,10 @@
 var quietLog = log.New(io.Discard, "", 0)
 
 const (
-	// drainTick is how often a planned stop looks whether calls have ended.
-	drainTick = 20 * time.Millisecond
 	// farewell bounds what a node still says after its last call.
 	farewell = 2 * time.Second
+	// farewellPause is how long its last words have to leave.
+	farewellPause = 20 * time.Millisecond
 )
 
 // Stop ends the node as planned: readiness falls first, the node takes what
@@ -47,20 +47,23 @@
 		event.NodeForcedStop.Log(n.logger, zap.Int64("cut", cut))
 	}
 	n.callers.http.Close()
-	n.sayFarewell()
+	n.sayFarewell(cut == 0)
 	n.end()
 	event.NodeStopped.Log(n.logger, zap.Int64("cut", cut))
 	return cut
 }
 
-// sayFarewell frees what the node holds and tells peers that it has left.
-func (n *Node) sayFarewell() {
+// sayFarewell tells peers that the node has left. If every call has ended it
+// frees the rights to cold targets; calls that were cut off may still run there.
+func (n *Node) sayFarewell(ended bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), farewell)
 	defer cancel()
-	n.rights.GiveBack(ctx)
+	if ended {
+		n.rights.GiveBack(ctx)
+	}
 	n.members.Update(func(e *member.Entry) { e.Status = member.Left })
 	n.hub.Broadcast(peer.Message{Entries: []member.Entry{n.members.Self()}}, nil)
-	wait(ctx, drainTick)
+	wait(ctx, farewellPause)
 }
 
 // Kill ends the node at once, as a failing VM does.
