--- a/member/member.go
+++ b/member/member.go
@@ -54,20 +54,28 @@
 type Settings struct {
 	// GoneAfter is the silence after which a node counts as gone. Default 10 s.
 	GoneAfter time.Duration
+	// GonePerMember lengthens that with the fleet: a message tells of a few
+	// members only, so in a large one each is told of less often. Default 800 ms,
+	// some seven times the mean between two words on a member.
+	GonePerMember time.Duration
 	// ForgetAfter is how long a gone node is remembered, so that old words of
 	// others do not revive it. Default 5 min.
 	ForgetAfter time.Duration
 }
 
 const (
-	defaultGoneAfter   = 10 * time.Second
-	defaultForgetAfter = 5 * time.Minute
+	defaultGoneAfter     = 10 * time.Second
+	defaultGonePerMember = 800 * time.Millisecond
+	defaultForgetAfter   = 5 * time.Minute
 )
 
 func (s Settings) withDefaults() Settings {
 	if s.GoneAfter == 0 {
 		s.GoneAfter = defaultGoneAfter
 	}
+	if s.GonePerMember == 0 {
+		s.GonePerMember = defaultGonePerMember
+	}
 	if s.ForgetAfter == 0 {
 		s.ForgetAfter = defaultForgetAfter
 	}
@@ -165,9 +173,10 @@
 func (t *Table) Tick(now time.Time) (changes []Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	goneAfter := t.goneAfter()
 	for i, k := range t.others {
 		silent := now.Sub(k.advanced)
-		if k.live && silent >= t.settings.GoneAfter {
+		if k.live && silent >= goneAfter {
 			k.live = false
 			changes = append(changes, Change{Entry: k.entry})
 		}
@@ -178,6 +187,18 @@
 	return changes
 }
 
+// goneAfter is the silence after which a node counts as gone in a fleet of this
+// size. The lock must be held.
+func (t *Table) goneAfter() time.Duration {
+	live := 0
+	for _, k := range t.others {
+		if k.live {
+			live++
+		}
+	}
+	return max(t.settings.GoneAfter, time.Duration(live)*t.settings.GonePerMember)
+}
+
 // SetListed takes how many entry nodes the platform lists.
 func (t *Table) SetListed(n int) {
 	t.mu.Lock()
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -46,6 +47,31 @@
 	}
 }
 
+// TestLargeFleetIsPatient tells a node of 100 members in turn, 9 a second, by
+// words that come at random; none may be taken for gone.
+func TestLargeFleetIsPatient(t *testing.T) {
+	table := NewTable(Entry{Incarnation: 1}, Settings{})
+	rng := rand.New(rand.NewPCG(1, 1))
+	const members, perSecond = 100, 9
+	var all []Entry
+	for i := range members {
+		all = append(all, Entry{Incarnation: Incarnation(i + 2), Beat: 1})
+	}
+	table.Merge(at(0), all)
+	for s := range 600 {
+		var told []Entry
+		for range perSecond {
+			e := all[rng.IntN(members)]
+			e.Beat = uint64(s + 2)
+			told = append(told, e)
+		}
+		table.Merge(at(float64(s)), told)
+		if gone := table.Tick(at(float64(s))); len(gone) > 0 {
+			t.Fatalf("taken for gone after %d s: got %d members, want none", s, len(gone))
+		}
+	}
+}
+
 func TestReplacedOnSameAddress(t *testing.T) {
 	table := NewTable(Entry{Incarnation: 1}, Settings{})
 	table.Merge(at(0), []Entry{{Incarnation: 2, Address: "10.0.0.2:1", Beat: 900}})
