Give the members of a test addresses of their own

Cause: TestLargeFleetIsPatient passed with the fixed silence of 10 s as well: its members shared the empty address, on which each new one retires the others. Change: an address each, and the test counts the live members at the end.

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -1,9 +1,12 @@
 package member
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/apricotmount/apricotmount/vm"
 )
 
 var start = time.Date(2026, 12, 3, 4, 0, 0, 0, time.UTC)
@@ -55,7 +58,7 @@
 	const members, perSecond = 100, 9
 	var all []Entry
 	for i := range members {
-		all = append(all, Entry{Incarnation: Incarnation(i + 2), Beat: 1})
+		all = append(all, Entry{Incarnation: Incarnation(i + 2), Address: vm.Address(fmt.Sprint(i)), Beat: 1})
 	}
 	table.Merge(at(0), all)
 	for s := range 600 {
@@ -70,6 +73,9 @@
 			t.Fatalf("taken for gone after %d s: got %d members, want none", s, len(gone))
 		}
 	}
+	if got, want := len(table.Live()), members+1; got != want {
+		t.Errorf("live members: got %d, want %d", got, want)
+	}
 }
 
 func TestReplacedOnSameAddress(t *testing.T) {
