--- a/member/member.go
+++ b/member/member.go
@@ -55,8 +55,8 @@
 	// GoneAfter is the silence after which a node counts as gone. Default 10 s.
 	GoneAfter time.Duration
 	// GonePerMember lengthens that with the fleet: a message tells of a few
-	// members only, so in a large one each is told of less often. Default 800 ms,
-	// some seven times the mean between two words on a member.
+	// members only, so in a large one each is told of less often. Default 1.2 s,
+	// some eleven times the mean between two words on a member.
 	GonePerMember time.Duration
 	// ForgetAfter is how long a gone node is remembered, so that old words of
 	// others do not revive it. Default 5 min.
@@ -65,7 +65,7 @@
 
 const (
 	defaultGoneAfter     = 10 * time.Second
-	defaultGonePerMember = 800 * time.Millisecond
+	defaultGonePerMember = 1200 * time.Millisecond
 	defaultForgetAfter   = 5 * time.Minute
 )
 
