--- /dev/null
+++ b/node/readiness.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/apricotmount/apricotmount/event"
+)
+
+const (
+	// platformEvery is how often the platform's services are judged.
+	platformEvery = 500 * time.Millisecond
+	// awayAfter is the silence after which the log counts as away.
+	awayAfter = 5 * time.Second
+)
+
+// watchPlatform tells when the log goes and comes, and keeps readiness.
+func (n *Node) watchPlatform(ctx context.Context) {
+	away, claimsReady := false, false
+	reported := ""
+	every(ctx, platformEvery, func() {
+		if !claimsReady && n.claimFollower.CaughtUp() {
+			claimsReady = true
+			event.ClaimsReady.Log(n.logger, zap.Int("held", n.claims.Book.Len()))
+		}
+		silent := time.Since(n.configFollower.Contact()) > awayAfter
+		if silent != away {
+			away = silent
+			if away {
+				event.LogAway.Log(n.logger)
+			} else {
+				event.LogBack.Log(n.logger)
+			}
+		}
+		reason := n.unreadyReason()
+		n.ready.Store(reason == "")
+		if reason == reported {
+			return
+		}
+		if reason == "" {
+			event.NodeReady.Log(n.logger, zap.Uint64("revision", uint64(n.book.Current().Revision)))
+		} else {
+			event.NodeUnready.Log(n.logger, zap.String("reason", reason))
+		}
+		reported = reason
+	})
+}
+
+// unreadyReason says why the node does not ask for work, or "".
+func (n *Node) unreadyReason() string {
+	switch {
+	case n.leaving.Load():
+		return "leaving"
+	case !n.book.Known() && !n.configFollower.CaughtUp():
+		return "no-configuration"
+	case n.fleet.selfWithdrawn():
+		return "out-of-service"
+	default:
+		return ""
+	}
+}
