--- a/node/node.go
+++ b/node/node.go
@@ -116,13 +116,17 @@
 func (n *Node) assembleFollowers() {
 	n.configFollower = &stream.Follower{Log: n.platform.Log, Name: config.Stream, Fold: n.book, Failed: n.followFailed}
 	n.claimFollower = &stream.Follower{Log: n.platform.Log, Name: claim.Stream, Fold: n.claims.Book, Settings: stream.Settings{Wait: quietWait}}
-	n.rightFollower = &stream.Follower{Log: n.platform.Log, Name: coldstart.Stream, Fold: n.rights.Book}
+	n.rightFollower = &stream.Follower{Log: n.platform.Log, Name: coldstart.Stream, Fold: n.rights.Book, Settings: stream.Settings{Pace: rightsPace}}
 }
 
 // quietWait is how long a read of the claims waits; nobody judges the log by it,
 // so it need not return often where there are none.
 const quietWait = 10 * time.Second
 
+// rightsPace is the least time between two reads of the leases: each node's
+// renewals come one by one, and nobody needs them at once.
+const rightsPace = 2 * time.Second
+
 // broken logs and counts each broken promise.
 func (n *Node) broken(count func(invariant.Name)) func(invariant.Name) {
 	return func(name invariant.Name) {
--- a/node/rights.go
+++ b/node/rights.go
@@ -12,8 +12,9 @@
 const (
 	// extendEvery is how often rights are extended while the log is away.
 	extendEvery = 4 * time.Second
-	// rightsLogAway is the silence of the log after which nodes ask each other.
-	rightsLogAway = 3 * time.Second
+	// rightsLogAway is the silence of the log after which nodes ask each other;
+	// it must be longer than a read's wait and pace together.
+	rightsLogAway = 6 * time.Second
 	// freshList is how old the platform's list may be for an extension.
 	freshList = 5 * time.Second
 )
--- a/stream/follower.go
+++ b/stream/follower.go
@@ -26,6 +26,9 @@
 	Wait time.Duration
 	// MaxRecords is the most records of one read. Default 1024.
 	MaxRecords int
+	// Pace is the least time between two reads that bring records, for streams
+	// that may be read a little later but not in many small pieces. Default none.
+	Pace time.Duration
 	// RetryLow and RetryHigh bound the wait after a failed read; the wait
 	// doubles between them and is spread by jitter. Defaults 50 ms and 2 s.
 	RetryLow, RetryHigh time.Duration
@@ -116,6 +119,9 @@
 		return err
 	}
 	f.noteContact(asked, f.Fold.Next() >= b.Next)
+	if len(b.Records) > 0 && len(b.Records) < cfg.MaxRecords {
+		pause(ctx, cfg.Pace)
+	}
 	return nil
 }
 
@@ -171,6 +177,9 @@
 }
 
 func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/stream/follower_test.go
+++ b/stream/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -174,3 +175,35 @@
 		wantOrder(t, fold, 0, 3)
 	})
 }
+
+// countingLog counts reads.
+type countingLog struct {
+	*standin.Log
+	reads atomic.Int64
+}
+
+func (l *countingLog) Read(ctx context.Context, name stream.Name, from stream.Offset, most int, wait time.Duration) (stream.Batch, error) {
+	l.reads.Add(1)
+	return l.Log.Read(ctx, name, from, most, wait)
+}
+
+// TestPace appends ten records a second; they are read in few pieces, and none
+// is lost.
+func TestPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, fold := &countingLog{Log: &standin.Log{}}, &sum{}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := &stream.Follower{Log: log, Name: "s", Fold: fold, Settings: stream.Settings{Pace: 2 * time.Second}}
+		go f.Run(ctx)
+		for range 200 {
+			appendN(t, log.Log, 1)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(5 * time.Second)
+		wantOrder(t, fold, 0, 200)
+		if got := log.reads.Load(); got > 25 {
+			t.Errorf("reads in 25 s: got %d, want at most 25", got)
+		}
+	})
+}
