--- a/proof/prove/cold_test.go
+++ b/proof/prove/cold_test.go
@@ -127,7 +127,6 @@
 	old      []*keeper
 	next     member.Incarnation
 	cuts     map[[2]member.Incarnation]bool
-	extended int
 }
 
 func (s *coldSite) add() *keeper {
