Show a node's state, and what measuring forwent, as gauges

Cause: what the measuring budget forwent stood in apricotctl status only; a scraper could not see it, nor revision, log age or members.

--- a/node/readiness.go
+++ b/node/readiness.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/metrics"
 )
 
 const (
@@ -20,6 +21,7 @@
 func (n *Node) watchPlatform(ctx context.Context) {
 	away, claimsReady := false, false
 	reported := ""
+	gauges := metrics.NewNode(n.metrics.Scope)
 	every(ctx, platformEvery, func() {
 		if !claimsReady && n.claimFollower.CaughtUp() {
 			claimsReady = true
@@ -36,6 +38,7 @@
 		}
 		reason := n.unreadyReason()
 		n.ready.Store(reason == "")
+		gauges.Set(n.gaugeState(reason == ""))
 		if reason == reported {
 			return
 		}
@@ -61,3 +64,23 @@
 		return ""
 	}
 }
+
+// gaugeState gathers what the node's gauges show.
+func (n *Node) gaugeState(ready bool) metrics.NodeState {
+	spent, traffic := n.ledger.Totals(), n.hub.Traffic()
+	return metrics.NodeState{
+		Ready:       ready,
+		Revision:    uint64(n.book.Current().Revision),
+		LogAge:      time.Since(n.configFollower.Contact()).Seconds(),
+		Members:     len(n.members.Live()),
+		Held:        n.fleet.pool.Held(),
+		ClaimsHeld:  n.claims.Book.Len(),
+		ColdShards:  n.rights.Held(time.Now()),
+		Probes:      spent.Spent.Messages,
+		Refusals:    spent.Spent.Refusals,
+		Forgone:     spent.Forgone,
+		PeerLinks:   len(n.hub.Links()),
+		PeerBytes:   traffic.SentBytes,
+		PeerDropped: traffic.Dropped,
+	}
+}
