Keep the log's cuttable way in one place

Cause: three tests held the same fake of a node cut off from the log. Change: standin.Path, used by all three.

--- a/coldstart/promise_test.go
+++ b/coldstart/promise_test.go
@@ -1,7 +1,6 @@
 package coldstart
 
 import (
-	"context"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -9,33 +8,12 @@
 
 	"github.com/apricotmount/apricotmount/member"
 	"github.com/apricotmount/apricotmount/standin"
-	"github.com/apricotmount/apricotmount/stream"
 )
 
-// cutLog is one node's way to the log.
-type cutLog struct {
-	*standin.Log
-	cut atomic.Bool
-}
-
-func (l *cutLog) Append(ctx context.Context, name stream.Name, payload []byte) (stream.Offset, error) {
-	if l.cut.Load() {
-		return 0, standin.ErrAway
-	}
-	return l.Log.Append(ctx, name, payload)
-}
-
-func (l *cutLog) Read(ctx context.Context, name stream.Name, from stream.Offset, most int, wait time.Duration) (stream.Batch, error) {
-	if l.cut.Load() {
-		return stream.Batch{}, standin.ErrAway
-	}
-	return l.Log.Read(ctx, name, from, most, min(wait, time.Second))
-}
-
 // fleet is nodes that ask each other.
 type fleet struct {
 	nodes  []*node
-	logs   []*cutLog
+	logs   []*standin.Path
 	silent []atomic.Bool
 }
 
@@ -48,7 +26,7 @@
 		live = append(live, member.Incarnation(i+1))
 	}
 	for _, self := range live {
-		l := &cutLog{Log: log}
+		l := &standin.Path{Log: log}
 		f.logs = append(f.logs, l)
 		f.nodes = append(f.nodes, newNode(t, l, self, live...))
 	}
@@ -60,7 +38,7 @@
 	const view member.View = 7
 	now := time.Now()
 	for i, n := range f.nodes {
-		if f.silent[i].Load() || !f.logs[i].cut.Load() {
+		if f.silent[i].Load() || !f.logs[i].Cut() {
 			continue
 		}
 		var others []member.Incarnation
@@ -85,7 +63,7 @@
 
 func (f *fleet) cut(all bool) {
 	for _, l := range f.logs {
-		l.cut.Store(all)
+		l.SetCut(all)
 	}
 }
 
@@ -142,7 +120,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
 		time.Sleep(3 * defaultLease)
-		f.logs[0].cut.Store(true)
+		f.logs[0].SetCut(true)
 		before := f.nodes[0].keeper.Held(time.Now())
 		f.run(t, 2*time.Minute)
 		if got := f.nodes[0].keeper.Held(time.Now()); got != before {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -21,7 +21,6 @@
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/settings"
 	"github.com/apricotmount/apricotmount/standin"
-	"github.com/apricotmount/apricotmount/stream"
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/vm"
 	"github.com/apricotmount/apricotmount/zone"
@@ -31,30 +30,6 @@
 // but that it came.
 const patience = 30 * time.Second
 
-// cutLog is one node's way to the log, which can be cut.
-type cutLog struct {
-	*standin.Log
-	cut atomic.Bool
-}
-
-func (l *cutLog) Append(ctx context.Context, name stream.Name, payload []byte) (stream.Offset, error) {
-	if l.cut.Load() {
-		return 0, standin.ErrAway
-	}
-	return l.Log.Append(ctx, name, payload)
-}
-
-func (l *cutLog) Read(ctx context.Context, name stream.Name, from stream.Offset, most int, wait time.Duration) (stream.Batch, error) {
-	if l.cut.Load() {
-		return stream.Batch{}, standin.ErrAway
-	}
-	b, err := l.Log.Read(ctx, name, from, most, min(wait, 200*time.Millisecond))
-	if l.cut.Load() {
-		return stream.Batch{}, standin.ErrAway
-	}
-	return b, err
-}
-
 // site is a small deployment over loopback.
 type site struct {
 	t       *testing.T
@@ -62,7 +37,7 @@
 	list    *standin.List
 	targets []*standin.Target
 	nodes   []*Node
-	logs    []*cutLog
+	logs    []*standin.Path
 }
 
 var zones = []zone.Name{"howrah", "salkia", "behala"}
@@ -102,7 +77,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	log := &cutLog{Log: s.log}
+	log := &standin.Path{Log: s.log}
 	n := New(cfg, Platform{Log: log, Lister: s.list}, zap.NewNop(), metrics.Discard())
 	if err := n.Start(); err != nil {
 		s.t.Fatal(err)
@@ -263,7 +238,7 @@
 func TestZoneOutWhileOneNodeIsCutOff(t *testing.T) {
 	s := newSite(t, 3)
 	s.base()
-	s.logs[2].cut.Store(true)
+	s.logs[2].SetCut(true)
 	s.publish(0, config.Document{ZonesOut: []zone.Name{"howrah"}})
 	s.everywhere("the zone's withdrawal", func(n *Node) bool { return n.book.Current().Withdrawn("any", "howrah") })
 	s.until("the node in the zone to be unready", func() bool { return !s.ready(0) })
--- a/proof/prove/cold_test.go
+++ b/proof/prove/cold_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apricotmount/apricotmount/coldstart"
@@ -28,35 +27,11 @@
 // one that is new.
 const listLag = 30 * time.Second
 
-// ownLog is one node's way to the log.
-type ownLog struct {
-	*standin.Log
-	cut atomic.Bool
-}
-
-func (l *ownLog) Append(ctx context.Context, name stream.Name, payload []byte) (stream.Offset, error) {
-	if l.cut.Load() {
-		return 0, standin.ErrAway
-	}
-	return l.Log.Append(ctx, name, payload)
-}
-
-func (l *ownLog) Read(ctx context.Context, name stream.Name, from stream.Offset, most int, wait time.Duration) (stream.Batch, error) {
-	if l.cut.Load() {
-		return stream.Batch{}, standin.ErrAway
-	}
-	b, err := l.Log.Read(ctx, name, from, most, min(wait, time.Second))
-	if l.cut.Load() {
-		return stream.Batch{}, standin.ErrAway
-	}
-	return b, err
-}
-
 // keeper is one node's rights.
 type keeper struct {
 	keeper   *coldstart.Keeper
 	follower *stream.Follower
-	log      *ownLog
+	log      *standin.Path
 	cancel   context.CancelFunc
 	began    time.Time
 
@@ -93,7 +68,7 @@
 }
 
 func newKeeper(log *standin.Log, self member.Incarnation) *keeper {
-	k := &keeper{live: []member.Entry{{Incarnation: self}}, log: &ownLog{Log: log}, began: time.Now()}
+	k := &keeper{live: []member.Entry{{Incarnation: self}}, log: &standin.Path{Log: log}, began: time.Now()}
 	k.keeper = &coldstart.Keeper{Log: k.log, Holder: self, Book: &coldstart.Book{}, Live: k.view}
 	k.keeper.Start()
 	k.follower = &stream.Follower{Log: k.log, Name: coldstart.Stream, Fold: k.keeper.Book}
@@ -258,7 +233,7 @@
 		}
 	case r.chance(0.05):
 		r.fault("node-cut-off-from-log")
-		n.log.cut.Store(!n.log.cut.Load())
+		n.log.SetCut(!n.log.Cut())
 	case r.chance(0.05):
 		r.fault("link-cut")
 		o := s.nodes[r.rng.IntN(len(s.nodes))]
