Let a target's bad name fade

Cause: in a trial with three processes one target got 33 calls where its like got hundreds. A target whose average was the worse for one slow answer was never chosen at low load, and so never got the answer that would have cleared it. Ruled out: the zone preference (its like in the same zone got theirs). Change: what finished calls said fades within 2 s, in the choice and in the averages that new answers are added to.

--- a/target/choice.go
+++ b/target/choice.go
@@ -188,18 +188,32 @@
 }
 
 // slowness is how many times slower than its like a target is, by finished
-// calls, by calls still open and by failures.
+// calls and their failures while these are fresh, and by calls still open.
 func (t *Table) slowness(e *entry, now tick) float64 {
+	slow := 1 + (t.judgement(e)-1)*e.freshness(now)
+	if t.latency > 0 && e.own > 0 {
+		age := float64(now) - float64(e.startSum)/float64(e.own)
+		slow = max(slow, age/(openPatience*t.latency*float64(time.Second)))
+	}
+	return min(slow, maxSlowness)
+}
+
+// freshness is how much of a judgement still counts: all of a new one, nothing
+// of an old one.
+func (e *entry) freshness(now tick) float64 {
+	age := float64(now-e.judgedAt) / float64(judgementLifetime)
+	return min(max(1-age, 0), 1)
+}
+
+// judgement is how many times slower than its like finished calls say a target
+// is, at least 1.
+func (t *Table) judgement(e *entry) float64 {
 	slow := 1.0
 	if t.latency > 0 {
 		slow = max(slow, e.latency/t.latency)
-		if e.own > 0 {
-			age := float64(now) - float64(e.startSum)/float64(e.own)
-			slow = max(slow, age/(openPatience*t.latency*float64(time.Second)))
-		}
 	}
 	if excess := e.failures - t.failures; excess > 0 {
 		slow = max(slow, 1+failurePenalty*excess)
 	}
-	return min(slow, maxSlowness)
+	return slow
 }
--- a/target/evidence.go
+++ b/target/evidence.go
@@ -33,7 +33,7 @@
 	case Cancelled:
 		// It was open for that long without an answer, which is evidence of
 		// slowness only if that is longer than usual.
-		t.atLeast(e, now.Sub(p.Started))
+		t.atLeast(e, now, now.Sub(p.Started))
 	}
 }
 
@@ -41,6 +41,7 @@
 	e.lastAnswer = now
 	e.served++
 	e.consecutive = 0
+	t.judge(e, now)
 	e.latency = average(e.latency, took.Seconds())
 	t.latency = average(t.latency, took.Seconds())
 	e.failures += latencyWeight * (0 - e.failures)
@@ -60,14 +61,28 @@
 	}
 }
 
-func (t *Table) atLeast(e *entry, took time.Duration) {
+// judge lets an old judgement fade into the average of the target's like before
+// a new one is added. The lock must be held.
+func (t *Table) judge(e *entry, now time.Time) {
+	at := t.tick(now)
+	fresh := e.freshness(at)
+	if e.latency > 0 {
+		e.latency = t.latency + (e.latency-t.latency)*fresh
+	}
+	e.failures = t.failures + (e.failures-t.failures)*fresh
+	e.judgedAt = at
+}
+
+func (t *Table) atLeast(e *entry, now time.Time, took time.Duration) {
 	if took.Seconds() > e.latency {
+		t.judge(e, now)
 		e.latency = average(e.latency, took.Seconds())
 	}
 }
 
 func (t *Table) failed(e *entry, now time.Time) {
 	e.consecutive++
+	t.judge(e, now)
 	e.failures += latencyWeight * (1 - e.failures)
 	t.failures += latencyWeight * (1 - t.failures)
 	if e.consecutive >= ejectAfter {
--- a/target/state.go
+++ b/target/state.go
@@ -127,6 +127,8 @@
 	othersAt tick
 	latency  float64
 	failures float64
+	// judgedAt is when latency and failures were last learnt.
+	judgedAt tick
 
 	consecutive  int
 	ejections    int
--- a/target/table.go
+++ b/target/table.go
@@ -68,6 +68,9 @@
 	// openPatience is how many usual latencies an open attempt may take before
 	// it counts as slowness.
 	openPatience = 2.0
+	// judgementLifetime is the age at which what finished calls said of a target
+	// counts nothing: one that gets no calls must not keep a bad name.
+	judgementLifetime = 2 * time.Second
 	// maxSlowness bounds the slowness of a target.
 	maxSlowness = 16.0
 	// failurePenalty is the slowness of a target that always fails.
--- a/target/table_test.go
+++ b/target/table_test.go
@@ -234,6 +234,24 @@
 	f.Finish(p, at(1000), TimedOut, Report{})
 }
 
+// TestBadNameFades slows one target down for a moment; at a load at which all
+// others are idle it must get calls again.
+func TestBadNameFades(t *testing.T) {
+	f := newFixture(t, 4, Settings{})
+	f.share(at(0), 200, answered)
+	for range 5 {
+		p, _ := f.Pick(at(100), []vm.ID{id(1), id(2), id(3)}, false)
+		f.Finish(p, at(400), Answered, Report{})
+	}
+	got := 0
+	for ms := 1000; ms < 20000; ms += 50 {
+		got += f.share(at(ms), 1, answered)[id(0)]
+	}
+	if got < 20 {
+		t.Errorf("calls of 380 at one of 4 that was slow once: got %d, want its share again", got)
+	}
+}
+
 func TestListLags(t *testing.T) {
 	f := newFixture(t, 3, Settings{})
 	f.SetList(at(1000), f.list[:2], none)
