Show that the last three invariants can fail

Cause: config-same-everywhere, not-run-is-true and cold-within-limit were checked inside the program, but no test showed that a breach is seen. Change: a test each breaks the promise on purpose; the check of a lost call is a function of its own, so that it can be asked.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -151,7 +151,7 @@
 	won, lost := r.carry(ctx)
 	if lost != nil {
 		place.Leave(false)
-		d.Checks.Hold(lost.Outcome != outcome.NotRun || !r.mayHaveRun, invariant.NotRunIsTrue)
+		r.checkLost(lost)
 	}
 	return won, lost
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -443,3 +443,20 @@
 		t.Errorf("breaches: got %d, want 1", got)
 	}
 }
+
+// TestUntrueNotRunIsCaught shows that the invariant sees a call told not run
+// after an attempt that may have run.
+func TestUntrueNotRunIsCaught(t *testing.T) {
+	p := idempotent()
+	checks := &invariant.Checks{}
+	r := &run{d: &Dispatcher{Checks: checks}, call: &Call{Profile: &p}}
+	r.checkLost(&Lost{Outcome: outcome.NotRun})
+	if got := checks.Count(invariant.NotRunIsTrue); got != 0 {
+		t.Errorf("breaches of a true one: got %d, want 0", got)
+	}
+	r.noteSent(broken)
+	r.checkLost(&Lost{Outcome: outcome.NotRun})
+	if got := checks.Count(invariant.NotRunIsTrue); got != 1 {
+		t.Errorf("breaches: got %d, want 1", got)
+	}
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -101,6 +101,11 @@
 	return &Lost{Outcome: outcome.NotRun, Reason: reason, Spent: r.allowance.Spent()}
 }
 
+// checkLost holds what a caller is told against what the attempts may have done.
+func (r *run) checkLost(lost *Lost) {
+	r.d.Checks.Hold(lost.Outcome != outcome.NotRun || !r.mayHaveRun, invariant.NotRunIsTrue)
+}
+
 func unknownReason(reason, last outcome.Reason) outcome.Reason {
 	switch {
 	case reason == outcome.CallerGone:
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/apricotmount/apricotmount/config"
 	"github.com/apricotmount/apricotmount/entry"
+	"github.com/apricotmount/apricotmount/invariant"
+	"github.com/apricotmount/apricotmount/member"
 	"github.com/apricotmount/apricotmount/metrics"
 	"github.com/apricotmount/apricotmount/operator"
 	"github.com/apricotmount/apricotmount/profile"
@@ -430,6 +432,26 @@
 	}
 }
 
+// TestDifferentConfigurationsAreCaught shows that the invariant sees a peer at
+// the same offset with another configuration.
+func TestDifferentConfigurationsAreCaught(t *testing.T) {
+	doc := settings.Defaults()
+	cfg, err := settings.Check(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := New(cfg, Platform{Log: &standin.Log{}, Lister: &standin.List{}}, zap.NewNop(), metrics.Discard())
+	n.members.Update(func(e *member.Entry) { e.ConfigNext, e.ConfigDigest = 5, 1 })
+	n.compareConfigs([]member.Entry{{ConfigNext: 5, ConfigDigest: 1}, {ConfigNext: 6, ConfigDigest: 2}})
+	if got := n.Checks().Total(); got != 0 {
+		t.Errorf("breaches of equal ones: got %d, want 0", got)
+	}
+	n.compareConfigs([]member.Entry{{ConfigNext: 5, ConfigDigest: 2}})
+	if got := n.Checks().Count(invariant.ConfigSameEverywhere); got != 1 {
+		t.Errorf("breaches: got %d, want 1", got)
+	}
+}
+
 // TestPorts keeps callers from the operators' and peers' endpoints, and
 // strangers from both.
 func TestPorts(t *testing.T) {
--- a/target/table_test.go
+++ b/target/table_test.go
@@ -342,6 +342,23 @@
 	}
 }
 
+// TestColdOverrunIsCaught shows that the invariant sees more attempts at a cold
+// target than it bears.
+func TestColdOverrunIsCaught(t *testing.T) {
+	f := newFixture(t, 1, Settings{Rights: rights(at(1000))})
+	f.Probed(id(0), at(0), Report{Known: true, Instance: "b", State: Cold})
+	own := &invariant.Checks{}
+	f.settings.Checks = own
+	for range 2 {
+		if _, why := f.open(f.entries[0], true, at(1)); why != Found {
+			t.Fatalf("open: got %v, want a place", why)
+		}
+	}
+	if got := own.Count(invariant.ColdWithinLimit); got != 1 {
+		t.Errorf("breaches: got %d, want 1", got)
+	}
+}
+
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{13, 64} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
