Confirm a changed membership generation at once

Cause: of 133 nodes that start within 0.3 s 51 read the store themselves and half were ready after 5.7 s, since the first reader's list named three members. The store deals partitions out again at each join, but takes one from its holder only when the holder joins with the new generation. Nodes joined with 0, then after 8 s with the generation of their first join, so the first few held all until 16 s; only holders are listed.

Ruled out: lists that come too seldom (tried before, no gain); one early join, which passes the old generation and frees nothing (tried before).

Change: a join whose answer names another generation is repeated after 0.35 s, then twice that, until it is the one passed. The store's stand-in deals partitions out as the platform does; TestNodesThatStartTogetherAreListedSoon fails without the change.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -233,6 +233,9 @@
 	// that lasts.
 	joinEvery = 8 * time.Second
 	joinTTL   = 25 * time.Second
+	// settleAfter is how soon a node renews a membership whose generation changed;
+	// the time doubles while it goes on changing.
+	settleAfter = 350 * time.Millisecond
 	// listNodesEvery is how often the node that reads lists the members.
 	listNodesEvery = 5 * time.Second
 	// listAfter is how long after its start a node lists the members at the
@@ -243,19 +246,28 @@
 	lonelyAfter = 4 * time.Second
 )
 
-// keepMembership renews the membership until ctx ends.
+// keepMembership renews the membership until ctx ends. A new generation is confirmed
+// soon: only then does the store deal out again what this node held before, and
+// members that hold nothing are not listed.
 func (n *Node) keepMembership(ctx context.Context) {
 	var generation int64
+	settle := settleAfter
 	for ctx.Err() == nil && !n.leaving.Load() {
 		call, cancel := context.WithTimeout(ctx, storePatience)
 		next, err := n.store.Join(call, n.self, joinTTL, generation)
 		cancel()
-		if err == nil {
+		if err != nil {
+			event.MembershipLost.Log(n.logger, zap.String("cause", eris.Cause(err).Error()))
+		}
+		wait := joinEvery
+		if err == nil && next != generation {
+			wait = min(settle, joinEvery)
+			settle *= 2
 			generation = next
 		} else {
-			event.MembershipLost.Log(n.logger, zap.String("cause", eris.Cause(err).Error()))
+			settle = settleAfter
 		}
-		sleep(ctx, joinEvery*9/10+rand.N(joinEvery/5))
+		sleep(ctx, wait*9/10+rand.N(wait/5))
 	}
 }
 
