End no node for a silence below zero

The only operation there that can fail so is the shift by the silence of the store; the time is taken before the lock on what is known, and a node paused there hears of the store later than that time.

Ruled out: concurrent changes of a map (all under the hub's lock), the empty list of peers, memory (65.8 MB at most, 184 MB allowed).

Change: a silence below zero counts as none. Looked for the same elsewhere: a rate of calls for cold targets above 1e9 a second gave a pause of zero, and a random draw of none ends the process; it is a nanosecond at least now.

Figures: both tests panic before, pass after.

--- a/coldstart/rate.go
+++ b/coldstart/rate.go
@@ -72,10 +72,10 @@
 	return max(1, min(int(r.perSecond), len(r.nodes)))
 }
 
-// between is the least time between two calls of this node to one target. The
-// lock must be held.
+// between is the least time between two calls of this node to one target, at least
+// a nanosecond. The lock must be held.
 func (r *Rate) between() time.Duration {
-	return time.Duration(float64(r.senders()) / r.perSecond * float64(time.Second))
+	return max(time.Duration(float64(r.senders())/r.perSecond*float64(time.Second)), 1)
 }
 
 // may reports whether this node's turn at a target has come. The lock must be
--- a/coldstart/rate_test.go
+++ b/coldstart/rate_test.go
@@ -90,3 +90,14 @@
 		t.Errorf("turns held: got %d, want %d at most", got, want)
 	}
 }
+
+// A configuration may state any number of calls.
+func TestRateWithoutAPause(t *testing.T) {
+	r := &Rate{}
+	r.Share(1e12, "n-1", []vm.ID{"n-1"})
+	now := time.Now()
+	r.Take("t", now)
+	if got := r.Take("t", now.Add(time.Millisecond)); !got {
+		t.Errorf("a call a millisecond later: got %v, want true", got)
+	}
+}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -187,9 +187,10 @@
 // bridgesAfter is how many nodes of a zone dial each other zone when nothing new was
 // heard for so long: it doubles with each span of an outage. The zone may be cut off
 // by nodes that do not do their part; but if the store is down all zones are as
-// silent, and links between them cost.
+// silent, and links between them cost. The silence is negative when something was
+// heard after the time was looked up.
 func bridgesAfter(silence time.Duration) int {
-	return bridges << min(silence/outageAfter, mostDoublings)
+	return bridges << min(max(silence, 0)/outageAfter, mostDoublings)
 }
 
 // mostDoublings bounds how often the number of bridges doubles.
--- a/gateway/links_test.go
+++ b/gateway/links_test.go
@@ -30,6 +30,7 @@
 		{"the store is down", outageAfter + time.Second, true, 2},
 		{"the store is down for long", 3*outageAfter + time.Second, true, 8},
 		{"a node that has just started", 0, false, 1},
+		{"heard while the time was looked up", -2 * outageAfter, true, 1},
 		{"no link at all", outageAfter + time.Second, false, inZone},
 	}
 	for _, tt := range tests {
