Soak links between nodes and to targets, zones, cold targets and configurations

Cause: the soak broke only links to the store, and did not look at cold starts, arrivals beyond the first, zones out of service or configurations. Its check for cut calls could not fail: it asked for calls of 100 ms and more where calls take 20.

New checks: the sum of calls at a cold target, the sum of arrivals beyond the first, no work in a zone out of service, no process goes back to an older configuration, changes in force in time (by the node that got the call; seeds with even numbers leave the store alone so that this bites), planned stops that end in time. A call that a target has got and whose connection ends in a planned stop is a finding, however short.

--- a/cmd/apricotmount/platform.go
+++ b/cmd/apricotmount/platform.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -20,13 +21,16 @@
 	"github.com/apricotmount/apricotmount/gateway"
 	"github.com/apricotmount/apricotmount/metrics"
 	"github.com/apricotmount/apricotmount/platform"
+	"github.com/apricotmount/apricotmount/vm"
 )
 
 // platformCommand runs a node by the platform's settings file.
 type platformCommand struct {
-	Settings string        `arg:"-s,--settings" help:"the settings file, YAML [default: the path in the environment]"`
-	Check    bool          `arg:"--check" help:"check the settings file and end"`
-	LogLevel zapcore.Level `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
+	Settings string `arg:"-s,--settings" help:"the settings file, YAML [default: the path in the environment]"`
+	Check    bool   `arg:"--check" help:"check the settings file and end"`
+	// Advertise is the address by which other nodes reach this one.
+	Advertise vm.Address    `arg:"--advertise" help:"HOST:PORT by which other nodes reach this one [default: where it listens for them]"`
+	LogLevel  zapcore.Level `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
 }
 
 const (
@@ -48,6 +52,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Advertised, err = c.advertised(); err != nil {
+		return err
+	}
 	if c.Check {
 		fmt.Println("the settings are sound")
 		return nil
@@ -74,6 +81,16 @@
 	return nil
 }
 
+func (c *platformCommand) advertised() (vm.Address, error) {
+	if c.Advertise == "" {
+		return "", nil
+	}
+	if _, err := netip.ParseAddrPort(string(c.Advertise)); err != nil {
+		return "", eris.Errorf("--advertise: %q is not an IP number and port", c.Advertise)
+	}
+	return c.Advertise, nil
+}
+
 // signalsHeld is how many signals wait to be looked at; one of each kind does.
 const signalsHeld = 4
 
--- a/cmd/apricotmount/soak_test.go
+++ b/cmd/apricotmount/soak_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,7 +17,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(nodeVariable) != "" {
-		os.Args = []string{"apricotmount", "platform"}
+		os.Args = append([]string{"apricotmount", "platform"}, os.Args[1:]...)
 		main()
 		os.Exit(0)
 	}
@@ -24,13 +27,13 @@
 // failedSeeds are seeds that found something once, with their causes.
 var failedSeeds = []uint64{}
 
-// TestSoak runs nodes as separate processes under random faults: a short run for a
-// fixed seed, and every seed that ever failed.
+// TestSoak runs nodes as separate processes under random faults: short runs for a
+// seed with faults of the store and one without, and every seed that ever failed.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("it takes half a minute")
 	}
-	seeds := append([]uint64{1}, failedSeeds...)
+	seeds := append([]uint64{1, 2}, failedSeeds...)
 	if text := os.Getenv("APRICOTMOUNT_SOAK_SEED"); text != "" {
 		seed, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
@@ -44,22 +47,53 @@
 }
 
 func soakOnce(t *testing.T, seed uint64) {
+	r := soaked(t, soak.Settings{Seed: seed, Nodes: 4, Targets: 6, Callers: 6, Faults: 10 * time.Second})
+	for _, f := range r.Findings {
+		t.Error(f)
+	}
+	if r.Calls["200"] < 100 {
+		t.Errorf("served: got %d, want 100 at least", r.Calls["200"])
+	}
+	t.Logf("seed %d: calls %v, faults %v", seed, r.Calls, r.Faults)
+}
+
+// soaked runs the test binary as the nodes of a soak.
+func soaked(t *testing.T, s soak.Settings) soak.Result {
+	t.Helper()
 	t.Setenv(nodeVariable, "yes")
 	program, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := soak.Run(t.Context(), soak.Settings{
-		Program: program, Seed: seed, Nodes: 4, Targets: 6, Callers: 6, Faults: 10 * time.Second, Dir: t.TempDir(),
-	})
+	s.Program, s.Dir = program, t.TempDir()
+	r, err := soak.Run(t.Context(), s)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, f := range r.Findings {
-		t.Error(f)
+	return r
+}
+
+// A stop that is just a kill cuts calls, and the soak sees it.
+func TestSoakSeesAbruptStops(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it takes some seconds")
 	}
-	if r.Calls["200"] < 100 {
-		t.Errorf("served: got %d, want 100 at least", r.Calls["200"])
+	r := soaked(t, soak.Settings{Seed: 1, Nodes: 3, Targets: 4, Callers: 12, Faults: 8 * time.Second, Only: []string{"stop"}, StopSignal: syscall.SIGKILL})
+	wantFinding(t, r, "planned-stop")
+}
+
+// Targets that leave while nodes go on sending to them are seen.
+func TestSoakSeesWorkAtTargetsThatLeft(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it takes some seconds")
+	}
+	r := soaked(t, soak.Settings{Seed: 2, Nodes: 3, Targets: 5, Callers: 4, Faults: 14 * time.Second, Only: []string{"target-leaves"}, Unheard: true})
+	wantFinding(t, r, "no-work-after-drain")
+}
+
+func wantFinding(t *testing.T, r soak.Result, promise string) {
+	t.Helper()
+	if !slices.ContainsFunc(r.Findings, func(f string) bool { return strings.HasPrefix(f, promise+":") }) {
+		t.Errorf("findings: got %q, want %s", r.Findings, promise)
 	}
-	t.Logf("seed %d: calls %v, faults %v", seed, r.Calls, r.Faults)
 }
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log"
@@ -89,7 +90,8 @@
 	n := &Node{settings: s, entry: p.Entry, store: p.Store, logger: p.Logger.With(zap.String("node", s.Name)), linesCut: p.LinesCut, metrics: p.Metrics, requestID: p.RequestID}
 	n.bounds.Store(&s)
 	n.informed = make(chan struct{})
-	n.self = vm.VM{ID: vm.ID(s.Peers), Role: vm.RoleEntry, Address: s.Peers, Zone: s.Zone, State: vm.StateLive}
+	address := cmp.Or(s.Advertised, s.Peers)
+	n.self = vm.VM{ID: vm.ID(address), Role: vm.RoleEntry, Address: address, Zone: s.Zone, State: vm.StateLive}
 	broken := metrics.WatchInvariants(p.Metrics.Scope)
 	n.checks = &invariant.Checks{Broken: func(name invariant.Name) {
 		broken(name)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -16,6 +16,8 @@
 	Callers, Readiness, Metrics string
 	// Peers is where other nodes open links.
 	Peers vm.Address
+	// Advertised is where other nodes reach this one, if it is not where it listens.
+	Advertised vm.Address
 	// FirstStart says that the whole fleet starts for the first time.
 	FirstStart bool
 	// MemoryMB is the most memory the process may use; zero means no bound.
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"syscall"
 	"time"
 
@@ -12,7 +13,9 @@
 // mending is under way.
 type fault struct {
 	name string
-	act  func(w *world, n *node)
+	// store says that it breaks the store for all nodes.
+	store bool
+	act   func(w *world, n *node)
 }
 
 const (
@@ -24,83 +27,95 @@
 )
 
 var faults = []fault{
-	{"kill", func(w *world, n *node) {
-		n.disturb(time.Now())
-		n.signal(syscall.SIGKILL)
+	{"kill", false, func(w *world, n *node) {
+		n.kill(syscall.SIGKILL)
 		n.await(time.Second)
 		w.restart(n)
 	}},
-	{"stop", func(w *world, n *node) {
-		n.mu.Lock()
-		n.stopping = time.Now()
-		n.mu.Unlock()
-		n.signal(syscall.SIGTERM)
-		n.await(2 * grace * time.Second)
-		n.disturb(time.Now())
-		w.restart(n)
+	{"stop", false, func(w *world, n *node) {
+		n.stop()
+		w.awaitStop(n)
 	}},
-	{"stop-and-reload", func(w *world, n *node) {
-		n.mu.Lock()
-		n.stopping = time.Now()
-		n.mu.Unlock()
-		n.signal(syscall.SIGTERM)
+	{"stop-and-reload", false, func(w *world, n *node) {
+		n.stop()
 		time.Sleep(shortest)
 		n.signal(syscall.SIGHUP)
-		n.await(2 * grace * time.Second)
-		n.disturb(time.Now())
-		w.restart(n)
+		w.awaitStop(n)
 	}},
-	{"pause", func(w *world, n *node) {
-		n.disturb(time.Now())
-		n.signal(syscall.SIGSTOP)
+	{"pause", false, func(w *world, n *node) {
+		n.kill(syscall.SIGSTOP)
 		time.Sleep(w.span())
 		n.disturb(time.Now())
 		n.signal(syscall.SIGCONT)
 	}},
-	{"reload", func(w *world, n *node) {
+	{"reload", false, func(w *world, n *node) {
 		if err := n.write(false); err != nil {
 			w.account.broken("soak", "%v", err)
 		}
 		n.signal(syscall.SIGHUP)
 	}},
-	{"link", func(w *world, n *node) {
-		n.disturb(time.Now())
-		n.store.link.Store(int32(1 + w.roll(int(links)-1)))
+	{"store-link", false, func(w *world, n *node) { w.breakLink(n, n.store) }},
+	{"peer-links", false, func(w *world, n *node) { w.breakLink(n, n.peers) }},
+	{"all-peer-links", false, func(w *world, _ *node) {
+		how := w.brokenLink()
+		for _, n := range w.nodes {
+			n.disturb(time.Now())
+			n.peers.set(how)
+		}
 		time.Sleep(w.span())
-		n.store.link.Store(int32(open))
-		n.store.reset()
-		n.disturb(time.Now())
+		for _, n := range w.nodes {
+			n.peers.set(open)
+			n.peers.reset()
+			n.disturb(time.Now())
+		}
+	}},
+	{"target-link", false, func(w *world, _ *node) {
+		w.mu.Lock()
+		t := w.pick()
+		w.mu.Unlock()
+		t.link.set(w.brokenLink())
+		time.Sleep(w.span())
+		t.link.set(open)
+		t.link.reset()
 	}},
-	{"reset", func(w *world, n *node) {
+	{"reset", false, func(w *world, n *node) {
 		n.disturb(time.Now())
 		n.store.reset()
+		n.peers.reset()
 	}},
-	{"store", func(w *world, _ *node) {
+	{"store", true, func(w *world, _ *node) {
 		w.breakStore()
 		w.store.SetFault(platformtest.Fault(1 + w.roll(3)))
 		time.Sleep(w.span())
 		w.store.SetFault(platformtest.None)
 		w.breakStore()
 	}},
-	{"store-forgets", func(w *world, _ *node) {
+	{"store-forgets", true, func(w *world, _ *node) {
 		w.breakStore()
 		w.store.Expire(platformtest.Targets)
 		w.store.Expire(platformtest.Operator)
 	}},
-	{"store-behind", func(w *world, _ *node) {
+	{"store-behind", true, func(w *world, _ *node) {
 		w.breakStore()
 		w.store.SetBehind(1 + w.roll(3))
 		time.Sleep(w.span())
 		w.store.SetBehind(0)
 		w.breakStore()
 	}},
-	{"plan", func(w *world, _ *node) { w.plan() }},
-	{"target-joins", func(w *world, _ *node) {
-		if err := w.addTarget(); err != nil {
+	{"plan", false, func(w *world, _ *node) { w.plan() }},
+	{"target-joins", false, func(w *world, _ *node) {
+		if err := w.addTarget(true); err != nil {
 			w.account.broken("soak", "%v", err)
 		}
 	}},
-	{"target-leaves", func(w *world, _ *node) { w.removeTarget() }},
+	{"target-leaves", false, func(w *world, _ *node) { w.removeTarget() }},
+	{"target-replaced", false, func(w *world, _ *node) {
+		if err := w.replaceTarget(); err != nil {
+			w.account.broken("soak", "%v", err)
+		}
+	}},
+	{"target-cools", false, func(w *world, _ *node) { w.coolTarget() }},
+	{"zones", false, func(w *world, _ *node) { w.changeZones() }},
 }
 
 // breakThings breaks one thing after the other, several at a time, for as long as
@@ -111,8 +126,9 @@
 	for _, n := range w.nodes {
 		inUse[n] = make(chan struct{}, 1)
 	}
+	kinds := w.kinds()
 	for end := time.Now().Add(w.settings.Faults); time.Now().Before(end) && ctx.Err() == nil; {
-		f, n := faults[w.roll(len(faults))], w.nodes[w.roll(len(w.nodes))]
+		f, n := kinds[w.roll(len(kinds))], w.nodes[w.roll(len(w.nodes))]
 		pause := time.Duration(w.roll(int(pauseMost)))
 		select {
 		case inUse[n] <- struct{}{}:
@@ -138,6 +154,34 @@
 	return ctx.Err()
 }
 
+// kinds returns the faults of this run. With an even seed the store works, so that
+// changes must be in force in time.
+func (w *world) kinds() (kinds []fault) {
+	for _, f := range faults {
+		if len(w.settings.Only) > 0 && !slices.Contains(w.settings.Only, f.name) {
+			continue
+		}
+		if f.store && w.settings.Seed%2 == 0 {
+			continue
+		}
+		kinds = append(kinds, f)
+	}
+	return kinds
+}
+
+// brokenLink draws how a link is broken.
+func (w *world) brokenLink() link { return link(1 + w.roll(int(links)-1)) }
+
+// breakLink breaks a node's link for a while and resets it.
+func (w *world) breakLink(n *node, p *proxy) {
+	n.disturb(time.Now())
+	p.set(w.brokenLink())
+	time.Sleep(w.span())
+	p.set(open)
+	p.reset()
+	n.disturb(time.Now())
+}
+
 // roll draws a number below n.
 func (w *world) roll(n int) int {
 	w.mu.Lock()
@@ -156,6 +200,15 @@
 	w.storeBroken = time.Now()
 }
 
+// awaitStop waits for the end of a planned stop and starts the node again.
+func (w *world) awaitStop(n *node) {
+	if n.await(2 * grace * time.Second) {
+		w.account.broken("stop-in-time", "%s had not ended %d s after the signal to stop", n.name, 2*grace)
+	}
+	n.disturb(time.Now())
+	w.restart(n)
+}
+
 func (w *world) restart(n *node) {
 	if err := n.write(false); err != nil {
 		w.account.broken("soak", "%v", err)
@@ -165,25 +218,3 @@
 		w.account.broken("soak", "%v", err)
 	}
 }
-
-// fewestTargets stay when others leave.
-const fewestTargets = 3
-
-// removeTarget lets a target drain and go.
-func (w *world) removeTarget() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var here []*target
-	for _, t := range w.targets {
-		if t.leftAt.IsZero() {
-			here = append(here, t)
-		}
-	}
-	if len(here) <= fewestTargets {
-		return
-	}
-	t := here[w.rng.IntN(len(here))]
-	t.leftAt = time.Now()
-	w.say(t, "draining")
-	time.AfterFunc(time.Second, func() { w.store.Put(platformtest.Targets, t.ID, "") })
-}
--- a/soak/node.go
+++ b/soak/node.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"os"
@@ -24,15 +25,20 @@
 	callers    string
 	ready      string
 	ports      [2]int
-	store      *proxy
+	// store leads to the store, and peers from other nodes to this one.
+	store, peers *proxy
 
 	mu      sync.Mutex
 	process *os.Process
 	ended   chan struct{}
 	// disturbed is when the node was last stopped, paused or cut off.
 	disturbed time.Time
-	// stopping is when a planned stop began; zero if none is under way.
-	stopping time.Time
+	// starts counts the processes, and holds is the newest configuration that the
+	// present one was seen to hold, by its place.
+	starts, holds int
+	// stopped is when the last planned stop began, and killed when the node was last
+	// killed or paused.
+	stopped, killed time.Time
 }
 
 func newNode(i int, zone, store, dir string, s Settings) (n *node, err error) {
@@ -50,6 +56,9 @@
 	if n.store, err = newProxy(store); err != nil {
 		return nil, err
 	}
+	if n.peers, err = newProxy(fmt.Sprint(host, ":", n.ports[0])); err != nil {
+		return nil, err
+	}
 	return n, n.write(true)
 }
 
@@ -76,7 +85,9 @@
 		return err
 	}
 	defer out.Close()
-	p, err := os.StartProcess(n.settings.Program, append([]string{n.settings.Program}, n.settings.Args...), &os.ProcAttr{
+	args := append([]string{n.settings.Program}, n.settings.Args...)
+	args = append(args, "--advertise", n.peers.address())
+	p, err := os.StartProcess(n.settings.Program, args, &os.ProcAttr{
 		Env:   append(os.Environ(), platform.SettingsVariable+"="+n.file),
 		Files: []*os.File{nil, out, out},
 	})
@@ -86,7 +97,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	ended := make(chan struct{})
-	n.process, n.ended, n.stopping = p, ended, time.Time{}
+	n.process, n.ended = p, ended
+	n.starts++
+	n.holds = 0
 	go func() {
 		// The process is reaped; how it ended is seen from outside.
 		_, _ = p.Wait()
@@ -95,6 +108,22 @@
 	return nil
 }
 
+// held returns the newest configuration that the present process was seen to hold.
+func (n *node) held() (start, configuration int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.starts, n.holds
+}
+
+// saw notes that a process held a configuration.
+func (n *node) saw(start, configuration int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if start == n.starts {
+		n.holds = max(n.holds, configuration)
+	}
+}
+
 // signal sends a signal to the node's own process.
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
@@ -112,6 +141,31 @@
 	n.disturbed = at
 }
 
+// stop begins a planned stop with the signal for it.
+func (n *node) stop() {
+	n.mu.Lock()
+	n.stopped = time.Now()
+	n.mu.Unlock()
+	n.signal(cmp.Or(n.settings.StopSignal, syscall.SIGTERM))
+}
+
+// kill notes a disturbance that may cut calls, and sends its signal.
+func (n *node) kill(s syscall.Signal) {
+	n.mu.Lock()
+	n.killed = time.Now()
+	n.mu.Unlock()
+	n.disturb(time.Now())
+	n.signal(s)
+}
+
+// stoppedSince reports whether a planned stop was under way between a time and now,
+// and nothing else could cut calls meanwhile.
+func (n *node) stoppedSince(began time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return began.Sub(n.stopped) < 2*grace*time.Second && n.killed.Before(began) && !n.stopped.Before(n.killed)
+}
+
 // calm reports whether the node was left alone for a while.
 func (n *node) calm(now time.Time, span time.Duration) bool {
 	n.mu.Lock()
@@ -119,16 +173,18 @@
 	return now.Sub(n.disturbed) > span
 }
 
-// await waits until the process has ended, or kills it.
-func (n *node) await(patience time.Duration) {
+// await waits until the process has ended, or kills it and reports that it had to.
+func (n *node) await(patience time.Duration) (killed bool) {
 	n.mu.Lock()
 	ended := n.ended
 	n.mu.Unlock()
 	select {
 	case <-ended:
+		return false
 	case <-time.After(patience):
-		n.signal(syscall.SIGKILL)
+		n.kill(syscall.SIGKILL)
 		<-ended
+		return true
 	}
 }
 
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -25,13 +25,13 @@
 // delay is how late bytes are on a slow link.
 const delay = 150 * time.Millisecond
 
-// proxy stands between a node and the store.
+// proxy stands between a node and what it speaks to.
 type proxy struct {
 	listener net.Listener
-	to       string
 	link     atomic.Int32
 
 	mu    sync.Mutex
+	to    string
 	conns map[net.Conn]bool
 }
 
@@ -47,13 +47,30 @@
 
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
+// set changes how bytes are treated.
+func (p *proxy) set(l link) { p.link.Store(int32(l)) }
+
+// lead makes new connections lead to an address.
+func (p *proxy) lead(to string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.to = to
+}
+
+func (p *proxy) dial() (net.Conn, error) {
+	p.mu.Lock()
+	to := p.to
+	p.mu.Unlock()
+	return net.Dial("tcp", to)
+}
+
 func (p *proxy) accept() {
 	for {
 		from, err := p.listener.Accept()
 		if err != nil {
 			return
 		}
-		to, err := net.Dial("tcp", p.to)
+		to, err := p.dial()
 		if err != nil {
 			from.Close()
 			continue
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -26,6 +27,12 @@
 	Seed    uint64
 	Nodes   int
 	Targets int
+	// StopSignal is the signal of a planned stop, SIGTERM if it is zero.
+	StopSignal syscall.Signal
+	// Unheard makes targets leave without a word in the store.
+	Unheard bool
+	// Only names the faults to draw from; none means all.
+	Only []string
 	// Faults is how long things break, and Callers how many call at once.
 	Faults  time.Duration
 	Callers int
@@ -52,29 +59,27 @@
 	account  *account
 	closers  []func()
 
-	mu       sync.Mutex
-	targets  []*target
-	version  int
+	mu      sync.Mutex
+	targets []*target
+	// published holds when each configuration was published, by its place among
+	// them.
+	published []time.Time
+	version   int
+	// out holds since when each zone is out of service.
+	out      map[string]time.Time
 	faults   map[string]int
 	sequence atomic.Int64
 	// storeBroken is when the store was last broken.
 	storeBroken time.Time
 }
 
-// target is one target and when it was taken away.
-type target struct {
-	*platformtest.Target
-	address, zone string
-	leftAt        time.Time
-}
-
 // zones are the availability zones of a run.
 var zones = []string{"east", "west", "south"}
 
 // Run runs nodes under faults and returns what was found.
 func Run(ctx context.Context, s Settings) (r Result, err error) {
 	defer func() { err = eris.Wrapf(err, "soak with seed %d", s.Seed) }()
-	w := &world{settings: s, rng: rand.New(rand.NewPCG(s.Seed, s.Seed)), store: &platformtest.Store{}, account: newAccount(), faults: map[string]int{}}
+	w := &world{settings: s, rng: rand.New(rand.NewPCG(s.Seed, s.Seed)), store: &platformtest.Store{}, account: newAccount(), faults: map[string]int{}, out: map[string]time.Time{}}
 	defer w.close()
 	if err := w.build(); err != nil {
 		return Result{}, err
@@ -101,6 +106,9 @@
 const (
 	// startLimit is how long nodes may take to be ready, on a slow machine too.
 	startLimit = 30 * time.Second
+	// calmApplied is how long a configuration may take when nothing is broken: the
+	// platform's bound.
+	calmApplied = 2500 * time.Millisecond
 	// applied is how long after a change callers and targets may still see what was
 	// before: the platform's bound, stretched as for a store in trouble, and time
 	// for slow machines.
@@ -115,7 +123,7 @@
 	w.address = address
 	w.closers = append(w.closers, closeStore)
 	for range w.settings.Targets {
-		if err := w.addTarget(); err != nil {
+		if err := w.addTarget(false); err != nil {
 			return err
 		}
 	}
@@ -139,63 +147,36 @@
 		n.signal(syscall.SIGKILL)
 		n.await(time.Second)
 		n.store.close()
+		n.peers.close()
 	}
 	for _, c := range w.closers {
 		c()
 	}
 }
 
-func (w *world) addTarget() error {
+// plan publishes a configuration of the next version. Each has a route more than the
+// one before, by which callers tell which ones a node holds.
+func (w *world) plan() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	t := &target{zone: zones[len(w.targets)%len(zones)]}
-	t.Target = &platformtest.Target{ID: fmt.Sprint("t-", len(w.targets)), Slots: 6, Work: 20 * time.Millisecond, Ran: func(id string) { w.ran(t, id) }}
-	address, closeTarget, err := platformtest.Listen(t.Target)
-	if err != nil {
-		return err
+	w.version += 1 + w.rng.IntN(3)
+	w.published = append(w.published, time.Now())
+	routes := []platformtest.Route{{Prefix: "/safe/", Safe: true, Service: "a"}, {Prefix: "/unsafe/", Service: "a"}}
+	for i := range w.published {
+		routes = append(routes, platformtest.Route{Prefix: "/" + sinceRoute(i) + "/", Safe: true, Service: "a"})
 	}
-	t.address = address
-	w.closers = append(w.closers, closeTarget)
-	w.targets = append(w.targets, t)
-	w.say(t, "ready")
-	return nil
+	w.store.Put(platformtest.Operator, "config", platformtest.Configuration(w.version, host, []string{"a"}, routes))
 }
 
-// say writes what a target says of itself. The lock must be held.
-func (w *world) say(t *target, state string) {
-	w.store.Put(platformtest.Targets, t.ID, t.Record("a", t.zone, t.address, state, int(w.sequence.Add(1))))
-}
+// sinceRoute is the route that came with a configuration.
+func sinceRoute(i int) string { return fmt.Sprint("since-", i) }
 
-// ran checks a call that a target runs.
-func (w *world) ran(t *target, id string) {
-	w.account.ran(id)
-	w.mu.Lock()
-	left, broken := t.leftAt, w.storeBroken
-	w.mu.Unlock()
-	now := time.Now()
-	if !left.IsZero() && now.Sub(left) > applied && now.Sub(broken) > applied && w.calm(now) {
-		w.account.broken("no-work-after-drain", "%s ran at %s, %s after it left", id, t.ID, now.Sub(left).Round(time.Millisecond))
-	}
-}
-
-// calm reports whether all nodes have been left alone for as long as changes take.
-func (w *world) calm(now time.Time) bool {
-	for _, n := range w.nodes {
-		if !n.calm(now, applied) {
-			return false
-		}
-	}
-	return true
-}
-
-// plan publishes a configuration of the next version.
-func (w *world) plan() {
+// newest returns the place of the newest configuration, and when it was published.
+func (w *world) newest() (i int, at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.version += 1 + w.rng.IntN(3)
-	w.store.Put(platformtest.Operator, "config", platformtest.Configuration(w.version, host, []string{"a"}, []platformtest.Route{
-		{Prefix: "/safe/", Safe: true, Service: "a"}, {Prefix: "/unsafe/", Service: "a"},
-	}))
+	i = len(w.published) - 1
+	return i, w.published[i]
 }
 
 // host is the host of all calls.
@@ -234,8 +215,14 @@
 // recover mends everything and checks that all is served again.
 func (w *world) recover(ctx context.Context) {
 	w.store.SetFault(platformtest.None)
+	w.mu.Lock()
+	for z := range w.out {
+		w.bringBack(z)
+	}
+	w.mu.Unlock()
 	for _, n := range w.nodes {
-		n.store.link.Store(int32(open))
+		n.store.set(open)
+		n.peers.set(open)
 		n.signal(syscall.SIGCONT)
 	}
 	if !w.await(ctx, startLimit) {
@@ -247,11 +234,28 @@
 	for i := range recoveryCalls {
 		n := w.nodes[i%len(w.nodes)]
 		id := fmt.Sprintf("recover-%d", i)
-		w.account.sent(id, false)
+		w.account.sent(id, false, n)
 		if status, err := w.send(ctx, client, n, id, "safe"); err != nil || status != 200 {
 			w.account.broken("recovery", "%s at %s: got %d %v, want 200", id, n.name, status, err)
 		}
 	}
+	w.change(ctx, client)
+}
+
+// change publishes a configuration and lets a target leave, and checks that every
+// node follows.
+func (w *world) change(ctx context.Context, client *http.Client) {
+	w.plan()
+	w.removeTarget()
+	time.Sleep(calmApplied)
+	i, _ := w.newest()
+	for _, n := range w.nodes {
+		id := "change-" + n.name
+		w.account.sent(id, false, n)
+		if status, err := w.send(ctx, client, n, id, sinceRoute(i)); err != nil || status != 200 {
+			w.account.broken("configuration-in-force", "%s: got %d %v after %s, want 200", n.name, status, err, calmApplied)
+		}
+	}
 }
 
 func (w *world) result() Result {
