Wait in one place

Nothing behaves differently; stream's copy returned at once for a time of zero, as a timer does.

Tests of all packages that wait pass.

--- a/coldstart/keeper.go
+++ b/coldstart/keeper.go
@@ -8,6 +8,7 @@
 
 	"github.com/apricotmount/apricotmount/codec"
 	"github.com/apricotmount/apricotmount/member"
+	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/stream"
 	"github.com/apricotmount/apricotmount/vm"
 )
@@ -141,11 +142,11 @@
 // Run asks for leases and renews them until ctx ends, then gives them back.
 func (k *Keeper) Run(ctx context.Context) {
 	// Nodes that start together first get to know each other.
-	sleep(ctx, firstWait/2+rand.N(firstWait))
+	pause.For(ctx, firstWait/2+rand.N(firstWait))
 	for ctx.Err() == nil {
 		k.append(ctx, Lease{Shards: k.wanted()})
 		wait := k.length() / renewals
-		sleep(ctx, wait/2+rand.N(wait/2))
+		pause.For(ctx, wait/2+rand.N(wait/2))
 	}
 }
 
@@ -287,12 +288,3 @@
 	}
 	return n
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -8,6 +8,7 @@
 	"github.com/apricotmount/apricotmount/admission"
 	"github.com/apricotmount/apricotmount/invariant"
 	"github.com/apricotmount/apricotmount/outcome"
+	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/retry"
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/vm"
@@ -191,12 +192,7 @@
 	if until.Sub(r.arrived) > r.call.Profile.QueueWait || until.After(r.call.Deadline) {
 		return reason
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.For(ctx, d)
 	r.avoid = r.avoid[:0]
 	r.tries = 0
 	return ""
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/replica"
 )
@@ -71,12 +72,12 @@
 // that starts as a whole few nodes begin to read early, however large it is.
 func (r *reader) awaitPeers(ctx context.Context) {
 	if r.node.settings.FirstStart {
-		sleep(ctx, fewEarly(startPatience))
+		pause.For(ctx, fewEarly(startPatience))
 		return
 	}
 	r.node.listNodesOnce(ctx)
 	for deadline := time.Now().Add(rejoinPatience); time.Now().Before(deadline) && !r.node.knowledge.known() && ctx.Err() == nil; {
-		sleep(ctx, rejoinPatience/20)
+		pause.For(ctx, rejoinPatience/20)
 	}
 }
 
@@ -87,7 +88,7 @@
 		if time.Since(r.node.knowledge.heardAt()) > patience {
 			return
 		}
-		sleep(ctx, checkEvery)
+		pause.For(ctx, checkEvery)
 	}
 }
 
@@ -191,7 +192,7 @@
 	if !r.away.Swap(true) {
 		event.StoreAway.Log(r.node.logger, zap.String("cause", eris.Cause(err).Error()))
 	}
-	sleep(ctx, retryAfter(len(r.node.knowledge.fleet(time.Now()))))
+	pause.For(ctx, retryAfter(len(r.node.knowledge.fleet(time.Now()))))
 }
 
 // retryAfter is how long one of n nodes waits after a failed call.
@@ -267,14 +268,14 @@
 		} else {
 			settle = settleAfter
 		}
-		sleep(ctx, wait*9/10+rand.N(wait/5))
+		pause.For(ctx, pause.About(wait))
 	}
 }
 
 // listNodes learns of the other nodes: the node that reads the targets asks the
 // store, and so does one that nobody speaks to.
 func (n *Node) listNodes(ctx context.Context) {
-	sleep(ctx, listAfter)
+	pause.For(ctx, listAfter)
 	lonely := time.Now()
 	var listedAt time.Time
 	for ctx.Err() == nil {
@@ -288,7 +289,7 @@
 			listedAt = now
 			n.listNodesOnce(ctx)
 		}
-		sleep(ctx, 4*checkEvery+rand.N(checkEvery))
+		pause.For(ctx, pause.About(4*checkEvery))
 	}
 }
 
@@ -306,12 +307,3 @@
 	}
 	n.hub.Broadcast(peer.Message{Nodes: nodes}, nil)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -21,6 +21,7 @@
 	"github.com/apricotmount/apricotmount/invariant"
 	"github.com/apricotmount/apricotmount/member"
 	"github.com/apricotmount/apricotmount/metrics"
+	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/replica"
 	"github.com/apricotmount/apricotmount/target"
@@ -193,7 +194,7 @@
 
 func (n *Node) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, sweepEvery)
+		pause.For(ctx, sweepEvery)
 		n.fleet.sweep(time.Now())
 		n.refresh()
 		n.tellLinesCut()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/pause"
 )
 
 const (
@@ -38,7 +39,7 @@
 			event.MembershipLost.Log(n.logger, zap.String("cause", eris.Cause(err).Error()))
 		}
 	})
-	sleep(ctx, takesFor(n.bounds.Load().Grace))
+	pause.For(ctx, takesFor(n.bounds.Load().Grace))
 	ctx, cancel := context.WithDeadline(ctx, began.Add(n.bounds.Load().Grace-stopMargin))
 	defer cancel()
 	if err := n.callers.Shutdown(ctx); err != nil {
--- a/load/added.go
+++ b/load/added.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/apricotmount/apricotmount/pause"
 )
 
 // addedWorkers is how many callers measure at once; they send back to back, so
@@ -52,7 +54,7 @@
 	for ctx.Err() == nil {
 		n, ok := c.Balancer.Pick()
 		if !ok {
-			wait(ctx, lookEvery)
+			pause.For(ctx, lookEvery)
 			continue
 		}
 		c.timeOne("http://"+n.Callers+path, a.Through)
--- a/load/balancer.go
+++ b/load/balancer.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/apricotmount/apricotmount/pause"
 )
 
 // Endpoint is an entry node as balancer and callers see it.
@@ -59,7 +61,7 @@
 func (b *Balancer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		b.Look(ctx)
-		wait(ctx, lookEvery)
+		pause.For(ctx, lookEvery)
 	}
 }
 
@@ -91,12 +93,3 @@
 	b.turn++
 	return b.ready[b.turn%len(b.ready)], true
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/load/caller.go
+++ b/load/caller.go
@@ -15,6 +15,7 @@
 
 	"github.com/apricotmount/apricotmount/entry"
 	"github.com/apricotmount/apricotmount/outcome"
+	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/standin"
 )
@@ -95,7 +96,7 @@
 func (c *Callers) Run(ctx context.Context, k Kind, index int) {
 	rng := rand.New(rand.NewPCG(c.Seed, uint64(index)))
 	for number := 0; ; number++ {
-		wait(ctx, time.Duration(rng.ExpFloat64()/k.Rate*float64(time.Second)))
+		pause.For(ctx, time.Duration(rng.ExpFloat64()/k.Rate*float64(time.Second)))
 		if ctx.Err() != nil {
 			return
 		}
--- a/node/operator.go
+++ b/node/operator.go
@@ -15,6 +15,7 @@
 	"github.com/apricotmount/apricotmount/fault"
 	"github.com/apricotmount/apricotmount/invariant"
 	"github.com/apricotmount/apricotmount/operator"
+	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/profile"
 	"github.com/apricotmount/apricotmount/service"
@@ -74,7 +75,7 @@
 			h.logFate(a)
 			return a
 		}
-		wait(ctx, fateTick)
+		pause.For(ctx, fateTick)
 	}
 	a := operator.Answer{Result: operator.Undetermined, ID: id, Revision: h.n.book.Current().Revision}
 	a.Reason = "the log has not shown the publication yet; ask again by its ID"
--- a/node/pause.go
+++ b/node/pause.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/pause"
 )
 
 const (
@@ -20,7 +21,7 @@
 func (n *Node) watchPauses(ctx context.Context) {
 	last := time.Now()
 	for ctx.Err() == nil {
-		wait(ctx, pauseTick)
+		pause.For(ctx, pauseTick)
 		now := time.Now()
 		stood := max(now.Sub(last), now.Round(0).Sub(last.Round(0))) - pauseTick
 		if stood > pauseFrom {
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -9,6 +9,7 @@
 	"github.com/apricotmount/apricotmount/config"
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/member"
+	"github.com/apricotmount/apricotmount/pause"
 )
 
 const (
@@ -31,7 +32,7 @@
 		if !n.snapshotDue() {
 			return
 		}
-		wait(ctx, time.Duration(n.place(uint64(n.book.Current().Next)))*snapshotTurn)
+		pause.For(ctx, time.Duration(n.place(uint64(n.book.Current().Next)))*snapshotTurn)
 		if ctx.Err() != nil || !n.snapshotDue() {
 			return
 		}
--- a/node/stop.go
+++ b/node/stop.go
@@ -11,6 +11,7 @@
 
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/member"
+	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/peer"
 )
 
@@ -38,7 +39,7 @@
 	n.members.Update(func(e *member.Entry) { e.Status = member.Leaving })
 	ctx, cancel := context.WithTimeout(ctx, n.settings.StopLimit)
 	defer cancel()
-	wait(ctx, n.settings.StopGrace)
+	pause.For(ctx, n.settings.StopGrace)
 	// The library's graceful stop closes the listener and idle connections, and
 	// waits for calls.
 	err := n.callers.http.Shutdown(ctx)
@@ -63,7 +64,7 @@
 	}
 	n.members.Update(func(e *member.Entry) { e.Status = member.Left })
 	n.hub.Broadcast(peer.Message{Entries: []member.Entry{n.members.Self()}}, nil)
-	wait(ctx, farewellPause)
+	pause.For(ctx, farewellPause)
 }
 
 // Kill ends the node at once, as a failing VM does.
--- /dev/null
+++ b/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits between the steps of a loop.
+package pause
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/apricotmount/apricotmount/member"
+	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/vm"
 )
 
@@ -118,7 +119,7 @@
 		h.dialMissing(ctx, cfg)
 		h.tellNext()
 		// The jitter keeps nodes that started together apart.
-		h.sleep(ctx, cfg.Tick*9/10+rand.N(cfg.Tick/5))
+		h.sleep(ctx, pause.About(cfg.Tick))
 	}
 }
 
--- a/proof/shift/fleet_test.go
+++ b/proof/shift/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/apricotmount/apricotmount/coldstart"
 	"github.com/apricotmount/apricotmount/dispatch"
 	"github.com/apricotmount/apricotmount/outcome"
+	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/profile"
 	"github.com/apricotmount/apricotmount/retry"
 	"github.com/apricotmount/apricotmount/routing"
@@ -321,11 +322,11 @@
 		if lost == nil || lost.Outcome != outcome.NotRun || ctx.Err() != nil {
 			return lost
 		}
-		pause := travel
+		after := travel
 		if !repeater {
-			pause = max(lost.RoomIn, travel)
+			after = max(lost.RoomIn, travel)
 		}
-		sleep(ctx, pause)
+		pause.For(ctx, after)
 	}
 	return lost
 }
--- a/proof/shift/target_test.go
+++ b/proof/shift/target_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apricotmount/apricotmount/dispatch"
+	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/target"
 )
 
@@ -69,18 +70,9 @@
 		if m.rng.Float64() < slowShare {
 			m.pace = slowFactor
 		}
-		pause := time.Duration(m.rng.ExpFloat64() * float64(slowEvery))
+		span := time.Duration(m.rng.ExpFloat64() * float64(slowEvery))
 		m.mu.Unlock()
-		sleep(ctx, pause)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		pause.For(ctx, span)
 	}
 }
 
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"math"
@@ -9,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/wire"
 )
@@ -112,7 +112,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if !work(r.Context(), d) {
+	if !pause.For(r.Context(), d) {
 		panic(http.ErrAbortHandler)
 	}
 	t.finish(call, w.Header())
@@ -150,18 +150,6 @@
 	t.report(h)
 }
 
-// work takes its time unless the call is cancelled.
-func work(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func pad(b []byte, n int) []byte {
 	for len(b) < n {
 		b = append(b, '.')
--- a/stream/follower.go
+++ b/stream/follower.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/apricotmount/apricotmount/pause"
 )
 
 // Fold takes the records of a stream in order.
@@ -89,7 +91,7 @@
 		if f.Failed != nil {
 			f.Failed(err)
 		}
-		pause(ctx, jitter(backoff))
+		pause.For(ctx, jitter(backoff))
 		backoff = min(2*backoff, cfg.RetryHigh)
 	}
 }
@@ -107,7 +109,7 @@
 	}
 	if b.Next < from {
 		// An old tail read after a newer one: keep the newer.
-		pause(ctx, jitter(cfg.RetryLow))
+		pause.For(ctx, jitter(cfg.RetryLow))
 		return nil
 	}
 	if b.First > from {
@@ -120,7 +122,7 @@
 	}
 	f.noteContact(asked, f.Fold.Next() >= b.Next)
 	if len(b.Records) > 0 && len(b.Records) < cfg.MaxRecords {
-		pause(ctx, cfg.Pace)
+		pause.For(ctx, cfg.Pace)
 	}
 	return nil
 }
@@ -175,15 +177,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
