Close callers' connections after the operator's idle time-out

Cause: the operator's idle time-out was decoded nowhere; a caller's unused connection stayed for 5 minutes and took a descriptor, of which small VMs have 4,100.

Change: the states of callers' connections are followed; one that is unused for a second longer than the configuration says is closed, twice a second. Ruled out: the server's own field, which may not change while it serves.

--- a/gateway/node.go
+++ b/gateway/node.go
@@ -65,6 +65,7 @@
 
 	servers []*http.Server
 	callers *http.Server
+	idle    idleCallers
 	ctx     context.Context
 	cancel  context.CancelFunc
 	loops   sync.WaitGroup
@@ -131,7 +132,7 @@
 	peers.Handle(peer.Path, n.hub)
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", n.metrics.Handler())
-	n.callers = &http.Server{Handler: http.HandlerFunc(n.serve), ErrorLog: quiet, IdleTimeout: callerIdle, ReadHeaderTimeout: headerTimeout}
+	n.callers = &http.Server{Handler: http.HandlerFunc(n.serve), ErrorLog: quiet, ConnState: n.idle.state, IdleTimeout: callerIdle, ReadHeaderTimeout: headerTimeout}
 	for _, s := range []struct {
 		address string
 		server  *http.Server
@@ -196,12 +197,21 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, sweepEvery)
 		n.fleet.sweep(time.Now())
+		n.closeIdleCallers(time.Now())
 		n.refresh()
 		n.tellLinesCut()
 		n.figures.Set(n.state(time.Now()))
 	}
 }
 
+// closeIdleCallers closes callers' connections that are unused for longer than the
+// operator allows.
+func (n *Node) closeIdleCallers(now time.Time) {
+	if plan := n.fleet.current.Load().plan; plan != nil {
+		n.idle.sweep(now, plan.Limits.Idle)
+	}
+}
+
 // tellReadiness logs that the node asks for work, or no longer does.
 func (n *Node) tellReadiness() {
 	ready := n.ready()
--- a/gateway/plan.go
+++ b/gateway/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/apricotmount/apricotmount/profile"
 	"github.com/apricotmount/apricotmount/service"
@@ -28,6 +29,8 @@
 type Limits struct {
 	// HeaderBytes and BodyBytes are the longest headers and body of a request.
 	HeaderBytes, BodyBytes int64
+	// Idle is how long a caller may leave a connection unused.
+	Idle time.Duration
 }
 
 // Service is a service and what its targets say and bear.
