Send the records of a large fleet in several messages

Cause, found by reading: a message may carry 4,096 records and 2 MB, checked where it is decoded. A node that holds more targets sent all its records in one message, and the peer ended the link for it ("a list is too long"); it would have asked again over each new link.

Ruled out: a larger bound, since the bound is what protects a node from bad messages.

Change: Message.Split makes parts of 1,024 records or 512 KB; marks and all else go with the last, so that a mark never comes before what it stands for. Links hold 32 messages (16 before), so that ten parts do not push others out.

--- a/peer/hub.go
+++ b/peer/hub.go
@@ -144,10 +144,13 @@
 
 // BroadcastTo sends a message on the links that are wanted.
 func (h *Hub) BroadcastTo(m Message, wanted func(l *Link) bool) {
-	b := m.Encode()
-	for _, l := range h.Links() {
-		if wanted(l) {
-			l.sendBytes(b)
+	links := h.Links()
+	for _, part := range m.Split() {
+		b := part.Encode()
+		for _, l := range links {
+			if wanted(l) {
+				l.sendBytes(b)
+			}
 		}
 	}
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -14,7 +14,7 @@
 
 const (
 	// outboxLength is how many messages wait for a slow peer; more are dropped.
-	outboxLength = 16
+	outboxLength = 32
 	// writeTimeout bounds the writing of one message.
 	writeTimeout = 4 * time.Second
 )
@@ -41,7 +41,9 @@
 
 // Send puts a message on its way, or drops it if the peer is too slow.
 func (l *Link) Send(m Message) {
-	l.sendBytes(m.Encode())
+	for _, part := range m.Split() {
+		l.sendBytes(part.Encode())
+	}
 }
 
 func (l *Link) sendBytes(b []byte) {
--- a/peer/message.go
+++ b/peer/message.go
@@ -20,6 +20,11 @@
 	// maxObservations and maxEntries bound what one message may carry.
 	maxObservations = 1024
 	maxEntries      = 4096
+	// partRecords and partBytes bound the records that travel in one message, by
+	// number and by the bytes of their keys and values: a large fleet's do not fit in
+	// one.
+	partRecords = 1024
+	partBytes   = 512 << 10
 	// compressFrom is the length from which messages are compressed, in bytes: what
 	// is shorter gains little.
 	compressFrom = 512
@@ -87,6 +92,23 @@
 	Known int `cbor:"13,keyasint,omitempty"`
 }
 
+// Split returns messages that say the same in turn, each with as many records as one
+// may carry; all else goes with the last, so that marks come after what they stand
+// for.
+func (m Message) Split() (parts []Message) {
+	records, size, from := m.Records, 0, 0
+	for i, r := range records {
+		length := len(r.Key) + len(r.Value)
+		if i > from && (i-from == partRecords || size+length > partBytes) {
+			parts = append(parts, Message{Records: records[from:i]})
+			size, from = 0, i
+		}
+		size += length
+	}
+	m.Records = records[from:]
+	return append(parts, m)
+}
+
 // Encode returns the message as bytes, compressed if it is long: a whole
 // configuration has hundreds of kilobytes, which shrink to a tenth.
 func (m Message) Encode() []byte {
--- a/peer/message_test.go
+++ b/peer/message_test.go
@@ -56,6 +56,54 @@
 	}
 }
 
+// TestRecordsOfALargeFleet sends the records of more targets than one message may
+// carry, and one record longer than a message's share.
+func TestRecordsOfALargeFleet(t *testing.T) {
+	tests := []struct {
+		name          string
+		records, size int
+		parts         int
+	}{
+		{"none", 0, 0, 1},
+		{"a few", 3, 200, 1},
+		{"10,000 targets", 10_000, 220, 10},
+		{"long ones", 3, 400 << 10, 3},
+		{"one longer than the share", 1, 1 << 20, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sent := Message{WantRecords: true, Marks: []replica.Mark{{End: 7}}}
+			for i := range tt.records {
+				sent.Records = append(sent.Records, replica.Record{Key: fmt.Sprint("i-", i), Value: make([]byte, tt.size), Offset: replica.Offset(i)})
+			}
+			parts := sent.Split()
+			if got := len(parts); got != tt.parts {
+				t.Errorf("messages: got %d, want %d", got, tt.parts)
+			}
+			var records []replica.Record
+			for i, part := range parts {
+				m, err := Decode(part.Encode())
+				if err != nil {
+					t.Fatalf("message %d: %v", i, err)
+				}
+				last := i == len(parts)-1
+				if got := len(m.Marks) == 1 && m.WantRecords; got != last {
+					t.Errorf("message %d of %d: got marks and the question: %v, want them in the last", i, len(parts), got)
+				}
+				records = append(records, m.Records...)
+			}
+			if len(records) != tt.records {
+				t.Fatalf("records: got %d, want %d", len(records), tt.records)
+			}
+			for i, r := range records {
+				if got, want := r.Offset, replica.Offset(i); got != want {
+					t.Fatalf("record %d: got offset %d, want %d", i, got, want)
+				}
+			}
+		})
+	}
+}
+
 // TestExpandedLengthIsBounded decodes a short message that would expand beyond the
 // bound, and one whose compressed part is cut.
 func TestExpandedLengthIsBounded(t *testing.T) {
