--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -26,6 +26,15 @@
 	return strings.Join(names, " ")
 }
 
+func TestRunsThatNeedTooManyDescriptors(t *testing.T) {
+	if err := (Settings{Nodes: 5, Targets: 8}).check(); err != nil {
+		t.Errorf("a small run: got %v, want no error", err)
+	}
+	if err := (Settings{Nodes: 1 << 20, Targets: 1 << 20}).check(); err == nil {
+		t.Error("a huge run: got no error, want one")
+	}
+}
+
 func TestCallsThatRun(t *testing.T) {
 	for _, test := range []struct {
 		name, id string
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -41,6 +41,24 @@
 	Progress io.Writer
 }
 
+// descriptorsPerPair is how many descriptors this process may hold for a node and a
+// target that speak to each other: the proxy's two and the target's own, and some of a
+// second connection.
+const descriptorsPerPair = 4
+
+// check returns an error if this process may not open as many descriptors as the run
+// needs.
+func (s Settings) check() error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return eris.Wrap(err, "look up the limit of descriptors")
+	}
+	if need := uint64(descriptorsPerPair * s.Nodes * s.Targets); need > limit.Cur {
+		return eris.Errorf("%d nodes and %d targets need some %d descriptors, %d are allowed: run fewer", s.Nodes, s.Targets, need, limit.Cur)
+	}
+	return nil
+}
+
 // Result is what a run came to.
 type Result struct {
 	Seed     uint64
@@ -79,6 +97,9 @@
 // Run runs nodes under faults and returns what was found.
 func Run(ctx context.Context, s Settings) (r Result, err error) {
 	defer func() { err = eris.Wrapf(err, "soak with seed %d", s.Seed) }()
+	if err := s.check(); err != nil {
+		return Result{}, err
+	}
 	w := &world{settings: s, rng: rand.New(rand.NewPCG(s.Seed, s.Seed)), store: &platformtest.Store{}, account: newAccount(), faults: map[string]int{}, out: map[string]time.Time{}}
 	defer w.close()
 	if err := w.build(); err != nil {
