--- a/gateway/log.go
+++ b/gateway/log.go
@@ -35,6 +35,9 @@
 		fields = append(fields, zap.Int("running", d.Seen.Running), zap.Int("waiting", d.Seen.Waiting),
 			zap.Float64("pace", d.Seen.Pace), zap.Int64("report-age-ms", d.SeenAge.Milliseconds()))
 	}
+	if d.Target.Zone != n.settings.Zone {
+		fields = append(fields, zap.String("zone", string(d.Target.Zone)))
+	}
 	if d.Late {
 		fields = append(fields, zap.Bool("late", true))
 	}
