Be ready only with all records

A node counted as informed with a plan and a mark of how far the targets were read; a peer sends that mark first, the records when asked. 33 of 105 nodes were ready before their first target. A zone out of service could have been missed in the same way; a node that heard a mark and then began to read went on from there, without the records before it.

Ruled out: a peer without targets (all had some 0.17 s later), a plan that names other services (the same calls were served 0.1 s later).

Change: a copy of a topic knows whether it has once held all that a reader held, by the reader's digest or its own listing. A node is ready when both topics have, or a second after it first heard of a reader; until then calls wait, as before. Marks are told only of topics held whole, and a topic not held whole is listed, not read on.

--- a/gateway/belief_test.go
+++ b/gateway/belief_test.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -218,3 +219,57 @@
 		t.Error("a record lost: got no, want to ask")
 	}
 }
+
+// A node that has started hears how far the store was read before it gets the records,
+// or the other way round: until it holds all of them it would refuse calls for want of
+// targets, or send them to a zone out of service.
+func TestKnownOnlyWithAllRecords(t *testing.T) {
+	targets := []replica.Record{word(replica.Targets, "a", "live 1", 1), word(replica.Targets, "b", "live 1", 2)}
+	operator := []replica.Record{word(replica.Operator, "plan", "plan 3", 1), word(replica.Operator, "out/z", "yes", 2)}
+	from := newTestKnowledge()
+	from.takeListing(replica.Targets, Batch{Records: targets, End: 3}, "store", time.Now())
+	from.takeListing(replica.Operator, Batch{Records: operator, End: 3}, "store", time.Now())
+	for t := range replica.Topics {
+		from.read(replica.Mark{Topic: t, End: 3, Reader: 7}, time.Now())
+	}
+	marks := from.marksNow(time.Now())
+	hear := func(k *knowledge) {
+		for _, m := range marks {
+			k.differs(m, time.Now())
+			k.read(m, time.Now())
+		}
+	}
+	steps := map[string]func(k *knowledge){
+		"the plan":    func(k *knowledge) { k.take(replica.Operator, operator[:1], "peer", time.Now()) },
+		"the zones":   func(k *knowledge) { k.take(replica.Operator, operator[1:], "peer", time.Now()) },
+		"the targets": func(k *knowledge) { k.take(replica.Targets, targets, "peer", time.Now()) },
+		"a target":    func(k *knowledge) { k.take(replica.Targets, targets[:1], "peer", time.Now()) },
+		"the marks":   hear,
+		"a second":    func(*knowledge) { time.Sleep(wholePatience + time.Millisecond) },
+	}
+	for _, tt := range []struct {
+		heard []string
+		want  bool
+	}{
+		{[]string{"the marks", "the plan", "the zones"}, false},
+		{[]string{"the marks", "the plan", "the targets"}, false},
+		{[]string{"the marks", "the plan", "the zones", "a target"}, false},
+		{[]string{"the plan", "the zones", "the targets"}, false},
+		{[]string{"the marks", "the plan", "the zones", "the targets"}, true},
+		{[]string{"the targets", "the zones", "the plan", "the marks"}, true},
+		{[]string{"the marks", "the plan", "a target", "a second"}, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			k := newTestKnowledge()
+			for _, h := range tt.heard {
+				steps[h](k)
+			}
+			if got := k.known(); got != tt.want {
+				t.Errorf("after %q: got known %v, want %v", tt.heard, got, tt.want)
+			}
+			if got, want := len(k.marksNow(time.Now())) == int(replica.Topics), tt.want && tt.heard[len(tt.heard)-1] != "a second"; got != want {
+				t.Errorf("after %q: tells others all marks: got %v, want %v", tt.heard, got, want)
+			}
+		})
+	}
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -207,10 +207,11 @@
 	return time.Duration(float64(most) * math.Sqrt(math.Sqrt(rand.Float64())))
 }
 
-// fetch reads a topic from where this node knows it, or lists it.
+// fetch reads a topic from where this node knows it, or lists it if it has not held
+// all of it.
 func (r *reader) fetch(ctx context.Context, topic replica.Topic, wait time.Duration) (b Batch, listed bool, err error) {
 	end, at := r.node.knowledge.end(topic)
-	if !at.IsZero() {
+	if !at.IsZero() && r.node.knowledge.isWhole(topic) {
 		ctx, cancel := context.WithTimeout(ctx, wait+storePatience)
 		defer cancel()
 		b, err = r.node.store.Read(ctx, topic, end, wait)
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -42,7 +42,9 @@
 	// the instant until which they are still taken for alive.
 	lapsed   map[string]time.Time
 	returned time.Time
-	nodes    map[vm.ID]listedNode
+	// heardSince is when this node first heard how far the store was read.
+	heardSince time.Time
+	nodes      map[vm.ID]listedNode
 }
 
 type listedNode struct {
@@ -88,6 +90,7 @@
 	if m.End < end {
 		return false
 	}
+	k.copies[m.Topic].Hear(m.Digest)
 	if m.Digest == k.copies[m.Topic].Digest() {
 		k.differsSince[m.Topic] = time.Time{}
 		return false
@@ -104,6 +107,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	topic := m.Topic
+	if k.heardSince.IsZero() {
+		k.heardSince = time.Now()
+	}
 	k.noteReturn(at)
 	return k.copies[topic].Read(m.End, at, m.Reader)
 }
@@ -232,11 +238,12 @@
 	return records
 }
 
-// marks returns how far and when the store was read. The lock must be held.
+// marks returns how far and when the store was read, for topics that this node holds
+// whole: nobody can learn from it that something is missing. The lock must be held.
 func (k *knowledge) marks(now time.Time) (marks []replica.Mark) {
 	for t := range replica.Topics {
 		end, at := k.copies[t].End()
-		if !at.IsZero() {
+		if !at.IsZero() && k.copies[t].Whole() {
 			marks = append(marks, replica.Mark{Topic: t, End: end, Age: peer.AgeOf(now.Sub(at)), Reader: k.copies[t].Reader(), Digest: k.copies[t].Digest()})
 		}
 	}
@@ -285,12 +292,27 @@
 	k.copies[topic].Read(end, at, by)
 }
 
-// known reports whether the node knows enough to serve.
+// wholePatience is how long a node that has heard of a reader waits for all that this
+// one held before it serves by what it has.
+const wholePatience = time.Second
+
+// known reports whether the node knows enough to serve: a plan, and all targets and
+// zones out of service.
 func (k *knowledge) known() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	_, at := k.copies[replica.Targets].End()
-	return k.plan != nil && !at.IsZero()
+	if k.plan == nil || k.heardSince.IsZero() {
+		return false
+	}
+	whole := k.copies[replica.Targets].Whole() && k.copies[replica.Operator].Whole()
+	return whole || time.Since(k.heardSince) > wholePatience
+}
+
+// isWhole reports whether the node has once held all of a topic.
+func (k *knowledge) isWhole(topic replica.Topic) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.copies[topic].Whole()
 }
 
 // takeNodes notes the nodes of the fleet; it reports whether some were new.
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -107,12 +107,12 @@
 	if last := n.askedAt.Load(); want && now.UnixMilli()-last > askAgain.Milliseconds() && n.askedAt.CompareAndSwap(last, now.UnixMilli()) {
 		from.Send(peer.Message{WantRecords: true})
 	}
-	if len(fresh) == 0 {
-		return
-	}
 	if !n.isInformed() {
 		n.refresh()
 	}
+	if len(fresh) == 0 {
+		return
+	}
 	foreign := !n.inZone(from)
 	n.hub.BroadcastTo(peer.Message{Marks: fresh}, func(l *peer.Link) bool {
 		return l != from && (n.inZone(l) || !foreign)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -91,6 +91,9 @@
 	freshAt time.Time
 	reader  Reader
 	digest  Digest
+	// told is the digest of what a reader held, if one was heard of.
+	told  *Digest
+	whole bool
 }
 
 // Take merges records and returns those that changed something that matters.
@@ -100,9 +103,27 @@
 			news = append(news, r)
 		}
 	}
+	c.compare()
 	return news
 }
 
+// Hear notes what a reader held that was as far as this copy or further.
+func (c *Copy) Hear(d Digest) {
+	c.told = &d
+	c.compare()
+}
+
+// compare notes that the copy holds what a reader held.
+func (c *Copy) compare() {
+	c.whole = c.whole || c.told != nil && *c.told == c.digest
+}
+
+// Whole reports whether the copy has once held all that the store did: it was listed,
+// or it held the same as a reader.
+func (c *Copy) Whole() bool {
+	return c.whole
+}
+
 func (c *Copy) take(r Record) bool {
 	if c.records == nil {
 		c.records = map[string]held{}
@@ -159,6 +180,7 @@
 		listed[r.Key] = true
 	}
 	news = c.Take(records)
+	c.whole = true
 	if end == 0 || end < c.end {
 		return news
 	}
