Find processes that end by themselves in the soak; heed only marks of targets

Cause: the soak would have missed today's panic: a node that ends by itself was started again by the next fault, if any, and nothing said so. And the second after which a node serves by what it has began with any mark, also one of the operator's topic alone.

Change: a process that ends with a status of its own, or without a planned stop, is the finding stays-up with its last log lines (TestProcessesThatEndByThemselves); under the race detector that covers data races too. The second begins with the first mark of the targets, as readiness did before.

--- a/gateway/belief_test.go
+++ b/gateway/belief_test.go
@@ -258,6 +258,7 @@
 		{[]string{"the marks", "the plan", "the zones", "the targets"}, true},
 		{[]string{"the targets", "the zones", "the plan", "the marks"}, true},
 		{[]string{"the marks", "the plan", "a target", "a second"}, true},
+		{[]string{"the plan", "a target", "a second"}, false},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			k := newTestKnowledge()
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -42,7 +42,7 @@
 	// the instant until which they are still taken for alive.
 	lapsed   map[string]time.Time
 	returned time.Time
-	// heardSince is when this node first heard how far the store was read.
+	// heardSince is when this node first heard how far the targets were read.
 	heardSince time.Time
 	nodes      map[vm.ID]listedNode
 }
@@ -81,8 +81,8 @@
 // fleet everything is a lot.
 const differenceLasts = 500 * time.Millisecond
 
-// differs reports whether this node has held something else than a reader that was
-// as far or further, for so long that what it lacks will not come by itself.
+// differs notes what a reader held, and reports whether this node, which was as far or
+// less, has held something else for so long that what it lacks will not come by itself.
 func (k *knowledge) differs(m replica.Mark, now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -107,7 +107,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	topic := m.Topic
-	if k.heardSince.IsZero() {
+	if topic == replica.Targets && k.heardSince.IsZero() {
 		k.heardSince = time.Now()
 	}
 	k.noteReturn(at)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -35,6 +35,37 @@
 	}
 }
 
+func TestProcessesThatEndByThemselves(t *testing.T) {
+	for _, test := range []struct {
+		name, program string
+		stopped       bool
+		want          string
+	}{
+		{"a failure", "/bin/false", false, "stays-up"},
+		{"a failure while it stops", "/bin/false", true, "stays-up"},
+		{"an end that nobody asked for", "/bin/true", false, "stays-up"},
+		{"a planned stop", "/bin/true", true, ""},
+	} {
+		s := Settings{Program: test.program, Dir: t.TempDir()}
+		n, err := newNode(0, "east", "127.0.0.1:1", s, newAccount())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if test.stopped {
+			n.stopped = time.Now().Add(time.Hour)
+		}
+		if err := n.start(); err != nil {
+			t.Fatal(err)
+		}
+		<-n.ended
+		n.store.close()
+		n.peers.close()
+		if got := found(&world{account: n.account}); got != test.want {
+			t.Errorf("%s: got %q, want %q", test.name, got, test.want)
+		}
+	}
+}
+
 func TestCallsThatRun(t *testing.T) {
 	for _, test := range []struct {
 		name, id string
--- a/soak/node.go
+++ b/soak/node.go
@@ -21,6 +21,7 @@
 	name, zone string
 	host       string
 	settings   Settings
+	account    *account
 	file, log  string
 	callers    string
 	ready      string
@@ -41,10 +42,10 @@
 	stopped, killed time.Time
 }
 
-func newNode(i int, zone, store, dir string, s Settings) (n *node, err error) {
+func newNode(i int, zone, store string, s Settings, a *account) (n *node, err error) {
 	host := fmt.Sprint("127.1.1.", 1+i%hostSpan)
-	n = &node{name: fmt.Sprint("node-", i), host: host, zone: zone, settings: s}
-	n.file, n.log = filepath.Join(dir, n.name+".yaml"), filepath.Join(dir, n.name+".log")
+	n = &node{name: fmt.Sprint("node-", i), host: host, zone: zone, settings: s, account: a}
+	n.file, n.log = filepath.Join(s.Dir, n.name+".yaml"), filepath.Join(s.Dir, n.name+".log")
 	var ports [4]int
 	for j := range ports {
 		if ports[j], err = platformtest.FreePort(host); err != nil {
@@ -101,13 +102,27 @@
 	n.starts++
 	n.holds = 0
 	go func() {
-		// The process is reaped; how it ended is seen from outside.
-		_, _ = p.Wait()
-		close(ended)
+		defer close(ended)
+		n.wait(p, time.Now())
 	}()
 	return nil
 }
 
+// wait waits for the end of a process, which must be a planned stop or a kill.
+func (n *node) wait(p *os.Process, began time.Time) {
+	state, err := p.Wait()
+	if err != nil {
+		n.account.broken("soak", "wait for %s: %v", n.name, err)
+		return
+	}
+	n.mu.Lock()
+	planned := n.stopped.After(began)
+	n.mu.Unlock()
+	if state.Exited() && (state.ExitCode() != 0 || !planned) {
+		n.account.broken("stays-up", "%s ended by itself with status %d; it logged last:\n%s", n.name, state.ExitCode(), n.tail())
+	}
+}
+
 // held returns the newest configuration that the present process was seen to hold.
 func (n *node) held() (start, configuration int) {
 	n.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -151,7 +151,7 @@
 	}
 	w.plan()
 	for i := range w.settings.Nodes {
-		n, err := newNode(i, zones[i%len(zones)], address, w.settings.Dir, w.settings)
+		n, err := newNode(i, zones[i%len(zones)], address, w.settings, w.account)
 		if err != nil {
 			return err
 		}
