Name the faults that a soak may draw, and refuse a run without any

Change: the store's faults have a table of their own; a run with none to draw is refused with the names asked for (TestRunsThatCannotBe, which also holds what TestRunsThatNeedTooManyDescriptors held).

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -26,12 +26,22 @@
 	return strings.Join(names, " ")
 }
 
-func TestRunsThatNeedTooManyDescriptors(t *testing.T) {
-	if err := (Settings{Nodes: 5, Targets: 8}).check(); err != nil {
-		t.Errorf("a small run: got %v, want no error", err)
-	}
-	if err := (Settings{Nodes: 1 << 20, Targets: 1 << 20}).check(); err == nil {
-		t.Error("a huge run: got no error, want one")
+func TestRunsThatCannotBe(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		s    Settings
+		want bool
+	}{
+		{"a small run", Settings{Nodes: 5, Targets: 8}, true},
+		{"too many descriptors", Settings{Nodes: 1 << 20, Targets: 1 << 20}, false},
+		{"one kind of fault", Settings{Only: []string{"stop"}}, true},
+		{"an unknown kind", Settings{Only: []string{"flood"}}, false},
+		{"a fault of the store with an odd seed", Settings{Seed: 1, Only: []string{"store"}}, true},
+		{"a fault of the store with an even seed", Settings{Seed: 2, Only: []string{"store"}}, false},
+	} {
+		if err := test.s.check(); (err == nil) != test.want {
+			t.Errorf("%s: got %v, want it to run: %v", test.name, err, test.want)
+		}
 	}
 }
 
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -13,9 +13,7 @@
 // mending is under way.
 type fault struct {
 	name string
-	// store says that it breaks the store for all nodes.
-	store bool
-	act   func(w *world, n *node)
+	act  func(w *world, n *node)
 }
 
 const (
@@ -27,36 +25,36 @@
 )
 
 var faults = []fault{
-	{"kill", false, func(w *world, n *node) {
+	{"kill", func(w *world, n *node) {
 		n.kill(syscall.SIGKILL)
 		n.await(time.Second)
 		w.restart(n)
 	}},
-	{"stop", false, func(w *world, n *node) {
+	{"stop", func(w *world, n *node) {
 		n.stop()
 		w.awaitStop(n)
 	}},
-	{"stop-and-reload", false, func(w *world, n *node) {
+	{"stop-and-reload", func(w *world, n *node) {
 		n.stop()
 		time.Sleep(shortest)
 		n.signal(syscall.SIGHUP)
 		w.awaitStop(n)
 	}},
-	{"pause", false, func(w *world, n *node) {
+	{"pause", func(w *world, n *node) {
 		n.kill(syscall.SIGSTOP)
 		time.Sleep(w.span())
 		n.disturb(time.Now())
 		n.signal(syscall.SIGCONT)
 	}},
-	{"reload", false, func(w *world, n *node) {
+	{"reload", func(w *world, n *node) {
 		if err := n.write(false); err != nil {
 			w.account.broken("soak", "%v", err)
 		}
 		n.signal(syscall.SIGHUP)
 	}},
-	{"store-link", false, func(w *world, n *node) { w.breakLink(n, n.store) }},
-	{"peer-links", false, func(w *world, n *node) { w.breakLink(n, n.peers) }},
-	{"all-peer-links", false, func(w *world, _ *node) {
+	{"store-link", func(w *world, n *node) { w.breakLink(n, n.store) }},
+	{"peer-links", func(w *world, n *node) { w.breakLink(n, n.peers) }},
+	{"all-peer-links", func(w *world, _ *node) {
 		how := w.brokenLink()
 		for _, n := range w.nodes {
 			n.disturb(time.Now())
@@ -69,7 +67,7 @@
 			n.disturb(time.Now())
 		}
 	}},
-	{"target-link", false, func(w *world, _ *node) {
+	{"target-link", func(w *world, _ *node) {
 		w.mu.Lock()
 		t := w.pick()
 		w.mu.Unlock()
@@ -78,44 +76,48 @@
 		t.link.set(open)
 		t.link.reset()
 	}},
-	{"reset", false, func(w *world, n *node) {
+	{"reset", func(w *world, n *node) {
 		n.disturb(time.Now())
 		n.store.reset()
 		n.peers.reset()
 	}},
-	{"store", true, func(w *world, _ *node) {
+	{"plan", func(w *world, _ *node) { w.plan() }},
+	{"target-joins", func(w *world, _ *node) {
+		if err := w.addTarget(true); err != nil {
+			w.account.broken("soak", "%v", err)
+		}
+	}},
+	{"target-leaves", func(w *world, _ *node) { w.removeTarget() }},
+	{"target-replaced", func(w *world, _ *node) {
+		if err := w.replaceTarget(); err != nil {
+			w.account.broken("soak", "%v", err)
+		}
+	}},
+	{"target-cools", func(w *world, _ *node) { w.coolTarget() }},
+	{"zones", func(w *world, _ *node) { w.changeZones() }},
+}
+
+// storeFaults break the store for all nodes.
+var storeFaults = []fault{
+	{"store", func(w *world, _ *node) {
 		w.breakStore()
 		w.store.SetFault(platformtest.Fault(1 + w.roll(3)))
 		time.Sleep(w.span())
 		w.store.SetFault(platformtest.None)
 		w.breakStore()
 	}},
-	{"store-forgets", true, func(w *world, _ *node) {
+	{"store-forgets", func(w *world, _ *node) {
 		w.breakStore()
 		w.store.Expire(platformtest.Targets)
 		w.store.Expire(platformtest.Operator)
 	}},
-	{"store-behind", true, func(w *world, _ *node) {
+	{"store-behind", func(w *world, _ *node) {
 		w.breakStore()
 		w.store.SetBehind(1 + w.roll(3))
 		time.Sleep(w.span())
 		w.store.SetBehind(0)
 		w.breakStore()
 	}},
-	{"plan", false, func(w *world, _ *node) { w.plan() }},
-	{"target-joins", false, func(w *world, _ *node) {
-		if err := w.addTarget(true); err != nil {
-			w.account.broken("soak", "%v", err)
-		}
-	}},
-	{"target-leaves", false, func(w *world, _ *node) { w.removeTarget() }},
-	{"target-replaced", false, func(w *world, _ *node) {
-		if err := w.replaceTarget(); err != nil {
-			w.account.broken("soak", "%v", err)
-		}
-	}},
-	{"target-cools", false, func(w *world, _ *node) { w.coolTarget() }},
-	{"zones", false, func(w *world, _ *node) { w.changeZones() }},
 }
 
 // breakThings breaks one thing after the other, several at a time, for as long as
@@ -126,7 +128,7 @@
 	for _, n := range w.nodes {
 		inUse[n] = make(chan struct{}, 1)
 	}
-	kinds := w.kinds()
+	kinds := w.settings.kinds()
 	for end := time.Now().Add(w.settings.Faults); time.Now().Before(end) && ctx.Err() == nil; {
 		f, n := kinds[w.roll(len(kinds))], w.nodes[w.roll(len(w.nodes))]
 		pause := time.Duration(w.roll(int(pauseMost)))
@@ -154,17 +156,17 @@
 	return ctx.Err()
 }
 
-// kinds returns the faults of this run. With an even seed the store works, so that
+// kinds returns the faults of a run. With an even seed the store works, so that
 // changes must be in force in time.
-func (w *world) kinds() (kinds []fault) {
-	for _, f := range faults {
-		if len(w.settings.Only) > 0 && !slices.Contains(w.settings.Only, f.name) {
-			continue
-		}
-		if f.store && w.settings.Seed%2 == 0 {
-			continue
+func (s Settings) kinds() (kinds []fault) {
+	all := faults
+	if s.Seed%2 == 1 {
+		all = slices.Concat(faults, storeFaults)
+	}
+	for _, f := range all {
+		if len(s.Only) == 0 || slices.Contains(s.Only, f.name) {
+			kinds = append(kinds, f)
 		}
-		kinds = append(kinds, f)
 	}
 	return kinds
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -50,9 +50,12 @@
 // second connection.
 const descriptorsPerPair = 4
 
-// check returns an error if this process may not open as many descriptors as the run
-// needs.
+// check returns an error if no fault is left to draw, or if this process may not open
+// as many descriptors as the run needs.
 func (s Settings) check() error {
+	if len(s.kinds()) == 0 {
+		return eris.Errorf("only %q: a run with seed %d has no such fault", s.Only, s.Seed)
+	}
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		return eris.Wrap(err, "look up the limit of descriptors")
