Let loops log while the log closes

The sink closed its channel of lines while links, which end a little later than the stop, still logged peer-down. Without the race detector such a line would end the process with a panic after its work was done.

Ruled out: calls cut by it (node-stopped says cut 0; callers saw nothing).

Change: closing the sink no longer closes the channel; what was taken before is written, what comes later is left out.

--- a/event/sink.go
+++ b/event/sink.go
@@ -22,26 +22,50 @@
 type Sink struct {
 	lines chan []byte
 	cut   atomic.Int64
-	done  chan struct{}
-	once  sync.Once
+	// closing ends the writing, and done says that it has ended.
+	closing chan struct{}
+	done    chan struct{}
+	once    sync.Once
 }
 
 // NewSink returns a sink that writes to w.
 func NewSink(w io.Writer) *Sink {
-	s := &Sink{lines: make(chan []byte, sinkLines), done: make(chan struct{})}
+	s := &Sink{lines: make(chan []byte, sinkLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go s.run(w)
 	return s
 }
 
 func (s *Sink) run(w io.Writer) {
 	defer close(s.done)
-	for b := range s.lines {
-		// There is nowhere to tell of a standard output that is gone.
-		_, _ = w.Write(b)
+	for {
+		select {
+		case b := <-s.lines:
+			writeLine(w, b)
+		case <-s.closing:
+			s.drain(w)
+			return
+		}
 	}
 }
 
-// Write takes one line.
+// drain writes the lines that wait.
+func (s *Sink) drain(w io.Writer) {
+	for {
+		select {
+		case b := <-s.lines:
+			writeLine(w, b)
+		default:
+			return
+		}
+	}
+}
+
+func writeLine(w io.Writer, b []byte) {
+	// There is nowhere to tell of a standard output that is gone.
+	_, _ = w.Write(b)
+}
+
+// Write takes one line; once the sink closes it may leave it out.
 func (s *Sink) Write(b []byte) (int, error) {
 	select {
 	case s.lines <- append([]byte(nil), b...):
@@ -57,10 +81,10 @@
 // Cut returns how many lines were left out since the last call.
 func (s *Sink) Cut() int64 { return s.cut.Swap(0) }
 
-// Close writes what was taken, for at most the given time. Nothing may be
-// written after it.
+// Close writes what was taken before it, for at most the given time. Loops that end
+// later may still log; their lines are left out.
 func (s *Sink) Close(patience time.Duration) {
-	s.once.Do(func() { close(s.lines) })
+	s.once.Do(func() { close(s.closing) })
 	select {
 	case <-s.done:
 	case <-time.After(patience):
--- a/event/sink_test.go
+++ b/event/sink_test.go
@@ -62,6 +62,31 @@
 
 // Ten times the load does not write ten times the lines, and the lines of good
 // calls do not push out those of refused ones.
+// Loops that end a little late still log while the process closes its log.
+func TestLinesWhileTheSinkCloses(t *testing.T) {
+	const writers, lines = 8, 200
+	var out bytes.Buffer
+	s := NewSink(&out)
+	if _, err := s.Write([]byte("first\n")); err != nil {
+		t.Fatal(err)
+	}
+	var late sync.WaitGroup
+	for range writers {
+		late.Go(func() {
+			for range lines {
+				// Whether a late line is written or left out does not matter.
+				_, _ = s.Write([]byte("late\n"))
+			}
+		})
+	}
+	s.Close(time.Minute)
+	late.Wait()
+	if got := out.String(); !strings.HasPrefix(got, "first\n") {
+		t.Errorf("lines: got %.20q, want the one from before first", got)
+	}
+	s.Close(time.Minute)
+}
+
 func TestVolumeIsBounded(t *testing.T) {
 	var out lockedBuffer
 	sink := NewSink(&out)
