--- a/gateway/belief_test.go
+++ b/gateway/belief_test.go
@@ -260,18 +260,20 @@
 		{[]string{"the marks", "the plan", "a target", "a second"}, true},
 		{[]string{"the plan", "a target", "a second"}, false},
 	} {
-		t.Run(strings.Join(tt.heard, ", "), func(t *testing.T) { synctest.Test(t, func(t *testing.T) {
-			k := newTestKnowledge()
-			for _, h := range tt.heard {
-				steps[h](k)
-			}
-			if got := k.known(); got != tt.want {
-				t.Errorf("after %q: got known %v, want %v", tt.heard, got, tt.want)
-			}
-			if got, want := len(k.marksNow(time.Now())) == int(replica.Topics), tt.want && tt.heard[len(tt.heard)-1] != "a second"; got != want {
-				t.Errorf("after %q: tells others all marks: got %v, want %v", tt.heard, got, want)
-			}
-		}) })
+		t.Run(strings.Join(tt.heard, ", "), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := newTestKnowledge()
+				for _, h := range tt.heard {
+					steps[h](k)
+				}
+				if got := k.known(); got != tt.want {
+					t.Errorf("after %q: got known %v, want %v", tt.heard, got, tt.want)
+				}
+				if got, want := len(k.marksNow(time.Now())) == int(replica.Topics), tt.want && tt.heard[len(tt.heard)-1] != "a second"; got != want {
+					t.Errorf("after %q: tells others all marks: got %v, want %v", tt.heard, got, want)
+				}
+			})
+		})
 	}
 }
 
