Log and count the rate limits that targets name

The header is parsed now and kept with the target, by the time at which its response was received. No decision uses it yet.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -41,6 +41,10 @@
 	// LoadReport.IsDetailed is false if there was no fresh report.
 	LoadReport    target.Report
 	LoadReportAge time.Duration
+	// Limit is the rate limit of the target and LimitAge the time since the target
+	// named it; both are zero without one.
+	Limit    target.RateLimit
+	LimitAge time.Duration
 	// IsLate reports whether the call could no longer meet its latency objective.
 	IsLate bool
 	// SinceArrival is the time since the call arrived.
@@ -65,7 +69,7 @@
 	now := time.Now()
 	d := Decision{
 		Kind: kind, Target: reservation.Ref, Forecast: reservation.Forecast, ForecastLimit: r.forecastLimit(),
-		LoadReport: reservation.Report, LoadReportAge: reservation.ReportAge, IsLate: r.isLate, SinceArrival: now.Sub(r.arrivedAt),
+		LoadReport: reservation.Report, LoadReportAge: reservation.ReportAge, Limit: reservation.Limit, LimitAge: reservation.LimitAge, IsLate: r.isLate, SinceArrival: now.Sub(r.arrivedAt),
 	}
 	if f != nil {
 		d.Result, d.Written = f.Result, f.Written
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -35,6 +35,9 @@
 		fields = append(fields, zap.Int("running", d.LoadReport.RunningCount), zap.Int("waiting", d.LoadReport.WaitingCount),
 			zap.Float64("pace", d.LoadReport.SlowdownFactor), zap.Int64("report-age-ms", d.LoadReportAge.Milliseconds()))
 	}
+	if d.Limit.Status == target.LimitNamed {
+		fields = append(fields, zap.Float64("rate-limit", d.Limit.PerSecond), zap.Int64("rate-limit-age-ms", d.LimitAge.Milliseconds()))
+	}
 	if d.Target.Zone != n.settings.Zone {
 		fields = append(fields, zap.String("zone", string(d.Target.Zone)))
 	}
@@ -59,6 +62,22 @@
 	target.TargetBackedOff:  event.TargetBackedOff,
 }
 
+// logLimitChange logs a change of a target's rate limit that its table reports.
+func (n *Node) logLimitChange(c target.LimitChange) {
+	fields := []zap.Field{zap.String("service", string(c.Ref.Service)), zap.String("target", string(c.Ref.ID)), zap.String("source", string(c.Source))}
+	if c.Previous.Status == target.LimitNamed {
+		fields = append(fields, zap.Float64("previous", c.Previous.PerSecond))
+	}
+	switch c.Limit.Status {
+	case target.LimitNamed:
+		event.TargetLimited.Log(n.logger, append(fields, zap.Float64("limit", c.Limit.PerSecond))...)
+	case target.LimitUnreadable:
+		event.TargetLimitInvalid.Log(n.logger, append(fields, zap.String("limit-text", c.Limit.Text))...)
+	default:
+		event.TargetUnlimited.Log(n.logger, fields...)
+	}
+}
+
 // recordCallEnd logs the end of a call and adds it to the metrics.
 func (n *Node) recordCallEnd(e entry.CallResult) {
 	fields := []zap.Field{
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -264,6 +264,7 @@
 		IsReady: n.isReady(), IsStoreReader: n.isReading.Load(), PlanVersion: n.planVersion(),
 		OperatorAgeSeconds: age(replica.Operator), TargetsAgeSeconds: age(replica.Targets),
 		NodeCount: len(n.state.fleetNodes(now)), PeerLinkCount: len(n.hub.Links()), HeldCallCount: n.upstreams.admission.HeldCount(),
+		LimitedTargetCount: n.upstreams.limitedTargetCount(now),
 	}
 }
 
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -187,7 +187,7 @@
 	n := u.node
 	return &serviceState{service: s, coldStartLimiter: coldStartLimiter, dispatch: &dispatch.Service{
 		Table: target.NewTable(s.Service, target.Settings{
-			Zone: n.settings.Zone, ColdStartLeases: coldStartLimiter, OnChange: n.logTargetChange, LoadQuery: loadQuerySettings, ListIsAuthoritative: true, Checks: n.invariants,
+			Zone: n.settings.Zone, ColdStartLeases: coldStartLimiter, OnChange: n.logTargetChange, OnLimitChange: n.logLimitChange, LoadQuery: loadQuerySettings, ListIsAuthoritative: true, Checks: n.invariants,
 		}),
 		LoadQuerier:        u,
 		Gate:               u.admission.AddGate(s.MaxQueueLength),
@@ -249,6 +249,14 @@
 	}
 }
 
+// limitedTargetCount returns the number of targets of all services with a rate limit.
+func (u *upstreams) limitedTargetCount(now time.Time) (count int) {
+	for _, s := range u.active.Load().services {
+		count += s.dispatch.Table.Counts(now).Limited
+	}
+	return count
+}
+
 // close closes the connection pools of all targets.
 func (u *upstreams) close() {
 	u.mu.Lock()
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -41,6 +41,8 @@
 	// NodeCount is the number of known nodes, PeerLinkCount of open peer links and
 	// HeldCallCount of calls in this node.
 	NodeCount, PeerLinkCount, HeldCallCount int
+	// LimitedTargetCount is the number of targets with a rate limit.
+	LimitedTargetCount int
 }
 
 // NewGateway registers the metrics in a scope. The counters start at 0.
@@ -89,6 +91,7 @@
 		"ready": boolGauge(s.IsReady), "reading": boolGauge(s.IsStoreReader), "plan_version": float64(s.PlanVersion),
 		"operator_age_seconds": s.OperatorAgeSeconds, "targets_age_seconds": s.TargetsAgeSeconds,
 		"nodes": float64(s.NodeCount), "peer_links": float64(s.PeerLinkCount), "calls_held": float64(s.HeldCallCount),
+		"targets_limited": float64(s.LimitedTargetCount),
 	} {
 		g.scope.Gauge(name).Update(value)
 	}
--- a/target/choice.go
+++ b/target/choice.go
@@ -28,6 +28,10 @@
 	// are zero if there was no fresh report or load queries are disabled.
 	Report    Report
 	ReportAge time.Duration
+	// Limit is the target's rate limit and LimitAge the time since the target named it;
+	// both are zero without one.
+	Limit    RateLimit
+	LimitAge time.Duration
 
 	// forecastRatio is the forecast latency divided by the baseline service
 	// time; zero if the forecast is not based on a report.
@@ -118,6 +122,9 @@
 func (t *Table) withForecast(reservation Reservation, i int, now time.Time) Reservation {
 	c, e, nowTick := &t.candidates[i], t.eligible[i], t.toTick(now)
 	reservation.Forecast = c.Forecast
+	if e.limit.inForce() {
+		reservation.Limit, reservation.LimitAge = e.limit.limit, now.Sub(e.limit.toldAt)
+	}
 	if t.settings.LoadQuery != (LoadQuerySettings{}) && t.hasFreshReport(e, nowTick) {
 		// Only a forecast based on a report contributes to the baseline service
 		// time.
--- a/target/evidence.go
+++ b/target/evidence.go
@@ -19,6 +19,9 @@
 		t.applyNotices(e, now, report)
 	}
 	t.applyReport(e, now, report, ownBefore)
+	if reservation.incarnation == e.incarnation {
+		t.applyLimit(e, report, LimitFromCall)
+	}
 	t.notifyLoadChanged()
 	if e.instance != reservation.instance && reservation.instance != "" {
 		// The attempt was sent to a replaced process; its result does not apply
@@ -224,12 +227,12 @@
 	}
 	e.lastProbeAt = now
 	t.applyNotices(e, now, r)
-	if !r.IsPresent {
-		return
+	if r.IsPresent {
+		e.lastResponseAt = now
+		t.applyReport(e, now, r, e.ownInFlight)
+		t.notifyLoadChanged()
 	}
-	e.lastResponseAt = now
-	t.applyReport(e, now, r, e.ownInFlight)
-	t.notifyLoadChanged()
+	t.applyLimit(e, r, LimitFromLoadQuery)
 }
 
 // MarkUnverified records that a target's connections broke, so its process may
--- a/target/notice.go
+++ b/target/notice.go
@@ -28,6 +28,7 @@
 func (e *entry) clearNotices() {
 	e.saidLeaving = false
 	e.backOffUntil = 0
+	e.limit = limitState{}
 }
 
 // BackOffRemaining returns the shortest time until a target that accepts work may get
--- a/target/state.go
+++ b/target/state.go
@@ -78,6 +78,11 @@
 	// RetryAfter is the time for which the target wants no further request from this
 	// node; zero if it did not say so.
 	RetryAfter time.Duration
+	// Limit is the rate limit that the response names.
+	Limit RateLimit
+	// ReceivedAt is when the headers of the response were received; zero if there was
+	// no response.
+	ReceivedAt time.Time
 }
 
 // Result is the result of an attempt.
@@ -165,6 +170,7 @@
 	// stop, and backOffUntil until when it wants no further request from this node.
 	saidLeaving  bool
 	backOffUntil tick
+	limit        limitState
 	// addressReused reports whether another process has the target's address.
 	addressReused bool
 	// sameZone reports whether the target is in the node's zone.
--- a/target/table.go
+++ b/target/table.go
@@ -26,6 +26,9 @@
 	// OnChange, if set, is called for each change of a target. The table is
 	// locked during the call, so OnChange must not call it.
 	OnChange func(ref Ref, kind Change)
+	// OnLimitChange, if set, is called when a target's rate limit begins, changes or
+	// ends, and for an unreadable one. The table is locked during the call.
+	OnLimitChange func(c LimitChange)
 	// LoadQuery, unless zero, makes choices use forecasts from load queries.
 	LoadQuery LoadQuerySettings
 	// ListIsAuthoritative removes a target as soon as it is missing from the
@@ -185,9 +188,9 @@
 
 // Counts is the number of targets: Total counts all, Available those that
 // accept work and are neither ejected nor in cold start, Cold those in cold
-// start that accept work and are not ejected.
+// start that accept work and are not ejected, Limited those with a rate limit.
 type Counts struct {
-	Total, Available, Cold int
+	Total, Available, Cold, Limited int
 }
 
 // Counts returns the current numbers of targets.
@@ -196,6 +199,9 @@
 	defer t.mu.Unlock()
 	for _, e := range t.entries {
 		c.Total++
+		if e.limit.inForce() {
+			c.Limited++
+		}
 		if !e.acceptsWork() || t.toTick(now) < e.ejectedUntil {
 			continue
 		}
--- a/wire/protocol.go
+++ b/wire/protocol.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,8 +12,8 @@
 
 // Protocol names the headers and the path used between targets and the load
 // balancer. An empty Protocol means DefaultProtocol. LoadHeader, ColdHeader,
-// ExpectHeader, IDHeader, LeavingHeader and ProofHeader are optional; empty disables
-// the feature.
+// ExpectHeader, IDHeader, LeavingHeader, LimitHeader and ProofHeader are optional;
+// empty disables the feature.
 type Protocol struct {
 	// InstanceHeader identifies the target's process on each response.
 	InstanceHeader string
@@ -45,6 +46,9 @@
 	IDHeader string
 	// LeavingHeader is present on each response of a target that is about to stop.
 	LeavingHeader string
+	// LimitHeader carries the number of requests a second, with an optional fraction,
+	// that a target takes from all load balancers together. It is forwarded to callers.
+	LimitHeader string
 	// ProofHeader is present on each response made by a target itself; a
 	// successful response (2xx) without it is rejected.
 	ProofHeader string
@@ -65,6 +69,8 @@
 // says about further requests.
 func (p Protocol) ParseReport(resp *http.Response) target.Report {
 	report := p.parseLoad(resp.Header)
+	report.ReceivedAt = time.Now()
+	report.Limit = p.parseLimit(resp.Header)
 	report.IsLeaving = p.LeavingHeader != "" && resp.Header.Get(p.LeavingHeader) != ""
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		report.RetryAfter = parseRetryAfter(resp.Header)
@@ -85,6 +91,22 @@
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
+// parseLimit returns the rate limit that the headers name.
+func (p Protocol) parseLimit(h http.Header) target.RateLimit {
+	if p.LimitHeader == "" {
+		return target.RateLimit{}
+	}
+	values := h.Values(p.LimitHeader)
+	if len(values) == 0 {
+		return target.RateLimit{}
+	}
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
+	if err != nil || len(values) > 1 || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return target.RateLimit{Status: target.LimitUnreadable, Text: strings.Join(values, ", ")}
+	}
+	return target.RateLimit{Status: target.LimitNamed, PerSecond: perSecond}
+}
+
 // parseLoad parses the load report in the headers of a response.
 func (p Protocol) parseLoad(h http.Header) target.Report {
 	if p.LoadHeader != "" {
--- a/wire/protocol_test.go
+++ b/wire/protocol_test.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/apricotmount/apricotmount/target"
 )
 
 // Retry-After counts only on a refusal with status 503, in seconds with a fraction.
@@ -49,3 +51,39 @@
 		t.Errorf("headers for the caller: got %v, want none", resp.Header)
 	}
 }
+
+// A rate limit is a finite number of requests a second, with a fraction, at least 0.
+// Anything else must be recognised as unreadable, and a missing header as no limit.
+func TestParseReportReadsRateLimit(t *testing.T) {
+	p := DefaultProtocol
+	p.LimitHeader = "Limit"
+	tests := []struct {
+		name   string
+		values []string
+		want   target.RateLimit
+	}{
+		{"fraction", []string{"2.5"}, target.RateLimit{Status: target.LimitNamed, PerSecond: 2.5}},
+		{"zero", []string{"0"}, target.RateLimit{Status: target.LimitNamed}},
+		{"near zero", []string{"1e-9"}, target.RateLimit{Status: target.LimitNamed, PerSecond: 1e-9}},
+		{"huge", []string{"1e300"}, target.RateLimit{Status: target.LimitNamed, PerSecond: 1e300}},
+		{"spaces", []string{" 4 "}, target.RateLimit{Status: target.LimitNamed, PerSecond: 4}},
+		{"none", nil, target.RateLimit{}},
+		{"empty", []string{""}, target.RateLimit{Status: target.LimitUnreadable}},
+		{"word", []string{"few"}, target.RateLimit{Status: target.LimitUnreadable, Text: "few"}},
+		{"negative", []string{"-2"}, target.RateLimit{Status: target.LimitUnreadable, Text: "-2"}},
+		{"not a number", []string{"NaN"}, target.RateLimit{Status: target.LimitUnreadable, Text: "NaN"}},
+		{"infinite", []string{"Inf"}, target.RateLimit{Status: target.LimitUnreadable, Text: "Inf"}},
+		{"two values", []string{"2", "3"}, target.RateLimit{Status: target.LimitUnreadable, Text: "2, 3"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			resp := &http.Response{StatusCode: 200, Header: http.Header{}}
+			for _, v := range tt.values {
+				resp.Header.Add("Limit", v)
+			}
+			if got := p.ParseReport(resp).Limit; got != tt.want {
+				t.Errorf("limit: got %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
