Let nodes that know only themselves share the rate of a cold target

Callers saw: nothing yet; a target in cold start could get the whole fleet's rate from each node that had just started and knew no other, and would crash.

The size of the fleet is what the last join told, or the assumed size. With complete views nothing changes.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -39,6 +39,21 @@
 	return nodes
 }
 
+// settleTime is how long after its start a node that knows no other assumes that there
+// are some: nodes that start together take as long to find each other.
+const settleTime = 10 * time.Second
+
+// fleetSize returns the number of nodes of the fleet, of which this node may not know all
+// yet.
+func (n *Node) fleetSize(known []vm.VM, now time.Time) int {
+	estimated := int(n.estimatedNodeCount.Load())
+	isAlone := len(known) == 1 && estimated == 1 && now.Sub(n.startedAt) > settleTime
+	if len(known) == 1 && !isAlone {
+		return max(assumedNodeCount, estimated)
+	}
+	return max(len(known), estimated)
+}
+
 // fleetNodes returns the nodes listed within nodeRetention, always including this one.
 func (s *nodeState) fleetNodes(now time.Time) []vm.VM {
 	s.mu.Lock()
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -84,11 +84,13 @@
 	// recordsRequestedAt is when all records were last requested from a peer, in Unix
 	// milliseconds.
 	recordsRequestedAt atomic.Int64
-	// applyMu guards appliedRevision, the revision of the state that is active, and
-	// nextChangeAt, when that state changes by itself; zero if it does not.
-	applyMu         sync.Mutex
-	appliedRevision uint64
-	nextChangeAt    time.Time
+	// applyMu guards appliedRevision and appliedFleetSize, the revision of the state and
+	// the size of the fleet that are active, and nextChangeAt, when that state changes by
+	// itself; zero if it does not.
+	applyMu          sync.Mutex
+	appliedRevision  uint64
+	appliedFleetSize int
+	nextChangeAt     time.Time
 	// estimatedNodeCount is the number of members that the last join has told; zero
 	// before the first.
 	estimatedNodeCount atomic.Int64
@@ -286,12 +288,13 @@
 	nodes := n.state.fleetNodes(now)
 	revision := n.state.currentRevision()
 	isDue := !n.nextChangeAt.IsZero() && !now.Before(n.nextChangeAt)
-	if revision == n.appliedRevision && !isDue {
+	fleetSize := n.fleetSize(nodes, now)
+	if revision == n.appliedRevision && fleetSize == n.appliedFleetSize && !isDue {
 		return
 	}
 	snap := n.state.snapshot(now)
-	n.upstreams.apply(snap, nodes, now)
-	n.appliedRevision, n.nextChangeAt = revision, snap.nextChangeAt
+	n.upstreams.apply(snap, nodes, fleetSize, now)
+	n.appliedRevision, n.appliedFleetSize, n.nextChangeAt = revision, fleetSize, snap.nextChangeAt
 }
 
 // applyState makes the current state active: plan, targets, zones out of service and
--- a/gateway/plan.go
+++ b/gateway/plan.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apricotmount/apricotmount/profile"
+	"github.com/apricotmount/apricotmount/quota"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/vm"
 	"github.com/apricotmount/apricotmount/zone"
@@ -43,7 +44,7 @@
 	HealthPath string
 	// ColdCallsPerSecond is the number of calls per second that a target in cold start
 	// may get from the whole fleet.
-	ColdCallsPerSecond float64
+	ColdCallsPerSecond quota.Rate
 }
 
 // Route applies to the calls of a host under a path prefix.
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -107,8 +107,8 @@
 }
 
 // apply makes a snapshot active; without a plan it does nothing. The limits of the fleet
-// are divided among the given nodes.
-func (u *upstreams) apply(snap snapshot, nodes []vm.VM, now time.Time) {
+// are divided among the given nodes; fleetSize is the number of all, known or not.
+func (u *upstreams) apply(snap snapshot, nodes []vm.VM, fleetSize int, now time.Time) {
 	if snap.plan == nil {
 		return
 	}
@@ -132,7 +132,7 @@
 	slices.Sort(ids)
 	for name, s := range cfg.services {
 		s.dispatch.ExtraAttemptBudget.SetSettings(u.node.reloadable.Load().ExtraAttempts.share(sharingNodeCount(nodes)))
-		s.coldStartLimiter.Configure(s.service.ColdCallsPerSecond, u.node.self.ID, ids)
+		s.coldStartLimiter.Configure(s.service.ColdCallsPerSecond, u.node.self.ID, ids, fleetSize)
 		s.dispatch.Table.SetService(s.service.Service)
 		s.dispatch.Table.SetList(now, byService[name], snap.withdrawn.contains)
 		s.dispatch.Table.SetSubsetSize(u.subsetSize(byService[name], nodes))
