Keep the rate limit that a target names as a sum over the fleet

Callers saw: nothing yet, but two servers in need, which had named 2.6 and 2.4 requests a second, got 26 and 34 within 4 s.

Ruled out: that each node kept the whole limit for itself (nothing read it), and that load queries or repeats make up the excess (26 in 4 s is less than the queries alone).

Each request to such a target, whether first, retry, or reserved before the limit was known, takes a turn of quota.Limiter, which divides the limit among a few nodes for each target, without messages: in any time d they send at most the rate times d and one call each. Hedges never go there.

When all usable targets name limits, a call that can meet its objective waits for this node's next turn, urgent ones first; any other is refused at once with the time after which there may be a turn, computed from the limits and the calls that wait. Load queries to a target without a turn are made once a second at most.

--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -22,13 +22,16 @@
 	mu      sync.Mutex
 	running int
 	slots   int
+	// limit is the rate limit that the target names.
+	limit target.RateLimit
 }
 
 func (f *fakeTarget) report() target.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return target.Report{IsPresent: true, IsDetailed: true, State: target.Live, RunningCount: min(f.running, f.slots),
-		WaitingCount: max(0, f.running-f.slots), Slots: f.slots, SlowdownFactor: 1, InFlight: f.running}
+		WaitingCount: max(0, f.running-f.slots), Slots: f.slots, SlowdownFactor: 1, InFlight: f.running,
+		Limit: f.limit, ReceivedAt: time.Now()}
 }
 
 func (f *fakeTarget) add(n int) {
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -20,9 +20,12 @@
 	Waiting
 	// Failed: an attempt ended without a response.
 	Failed
+	// HeldBack: the rate limits of the targets leave no capacity now; the call waits for
+	// a turn or is refused.
+	HeldBack
 )
 
-var decisionNames = [...]string{"placed", "hedged", "waiting", "failed"}
+var decisionNames = [...]string{"placed", "hedged", "waiting", "failed", "held-back"}
 
 // String returns the name of the kind, as used in logs.
 func (k DecisionKind) String() string {
@@ -53,6 +56,11 @@
 	// it may have reached the target.
 	Result  target.Result
 	Written bool
+	// Turn is the next turn of a call that is held back, CallsAhead the number of calls
+	// that go before it, and IsRefused reports whether it does not wait for the turn.
+	Turn       target.Turn
+	CallsAhead int
+	IsRefused  bool
 }
 
 // DecisionObserver receives the decisions on calls. ObserveDecision must not block.
@@ -60,6 +68,18 @@
 	ObserveDecision(c *Call, d Decision)
 }
 
+// notifyHeldBack passes to Dispatcher.Observer, if it is set, that rate limits hold a call
+// back.
+func (r *run) notifyHeldBack(turn target.Turn, callsAhead int, isRefused bool) {
+	if r.dispatcher.Observer == nil {
+		return
+	}
+	r.dispatcher.Observer.ObserveDecision(r.call, Decision{
+		Kind: HeldBack, ForecastLimit: r.forecastLimit(), IsLate: r.isLate, SinceArrival: time.Since(r.arrivedAt),
+		Turn: turn, CallsAhead: callsAhead, IsRefused: isRefused,
+	})
+}
+
 // notifyDecision passes a decision to Dispatcher.Observer, if it is set. f is the
 // failure of the attempt, or nil.
 func (r *run) notifyDecision(kind DecisionKind, reservation target.Reservation, f *AttemptFailure) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -121,6 +121,8 @@
 	// LateCallLimiter bounds the number of waiting calls that can no longer meet
 	// their objective. Calls whose profile has no objective are never late.
 	LateCallLimiter admission.LateCallLimiter
+
+	turnQueue turnQueue
 }
 
 // ExtraAttemptCounter counts extra attempts, made or skipped, by reason.
@@ -191,6 +193,7 @@
 	r := &run{dispatcher: d, service: svc, call: c, sender: s, gatePermit: permit, allowance: c.Allowance, arrivedAt: now}
 	resp, fail := r.execute(ctx)
 	r.releaseLateCall(false)
+	r.leaveTurnQueue()
 	if fail != nil {
 		permit.Release(false)
 		r.checkFailure(fail)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -55,6 +55,9 @@
 	isLate, hasReleasedLateCall bool
 	// hasWaited reports whether the call has waited for capacity.
 	hasWaited bool
+	// turnPlace is the call's place among those that wait for a turn at a target with a
+	// rate limit; nil if it does not wait for one.
+	turnPlace *turnPlace
 	// lastLossReason is the reason recorded for the most recent lost response, or
 	// "" if none was lost.
 	lastLossReason outcome.Reason
@@ -77,6 +80,11 @@
 				return nil, r.backOffFailure(remaining)
 			}
 		}
+		if status == target.PickLimited {
+			if fail := r.joinTurnQueue(); fail != nil {
+				return nil, fail
+			}
+		}
 		if r.canWaitForCapacity(status) {
 			if reason := r.waitForCapacity(ctx, loadChanged, reservation); reason != "" {
 				return nil, r.capacityFailure(reason, reservation)
@@ -90,6 +98,7 @@
 			continue
 		}
 		r.releaseLateCall(true)
+		r.leaveTurnQueue()
 		r.notifyDecision(Placed, reservation, nil)
 		resp, failure := r.attemptWithHedge(ctx, reservation)
 		if resp != nil && !r.retryServerFailure(resp) {
@@ -128,7 +137,7 @@
 
 // pickOptions returns the options for choosing the target of the next attempt.
 func (r *run) pickOptions() target.PickOptions {
-	return target.PickOptions{Exclude: r.excluded, Objective: r.call.Profile.LatencyObjective, MaxForecast: r.forecastLimit(), IsWaiting: r.hasWaited}
+	return target.PickOptions{Exclude: r.excluded, Objective: r.call.Profile.LatencyObjective, MaxForecast: r.forecastLimit(), IsWaiting: r.hasWaited, AvoidLimited: r.mustYieldTurn()}
 }
 
 // capacityFailure returns the result of a call for which no target has capacity in
@@ -200,6 +209,8 @@
 		return outcome.NoTarget
 	case status == target.PickOnlyCold:
 		return r.waitBackoff(ctx, outcome.OnlyColdTargets)
+	case status == target.PickLimited:
+		return r.waitBackoff(ctx, outcome.TargetsLimited)
 	default:
 		return r.waitBackoff(ctx, outcome.TargetsRefused)
 	}
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -79,7 +79,7 @@
 	if time.Until(r.call.Deadline) < r.service.Table.BaselineServiceTime() {
 		return outcome.DeadlineTooClose
 	}
-	timer := time.NewTimer(minRecheckDelay + rand.N(maxRecheckDelay-minRecheckDelay))
+	timer := time.NewTimer(r.recheckDelay())
 	defer timer.Stop()
 	select {
 	case <-loadChanged:
@@ -89,6 +89,24 @@
 	return ""
 }
 
+// recheckDelay returns the time until a waiting call checks the targets again if no load
+// update arrives.
+func (r *run) recheckDelay() time.Duration {
+	delay := minRecheckDelay + rand.N(maxRecheckDelay-minRecheckDelay)
+	if r.turnPlace == nil {
+		return delay
+	}
+	next := r.service.Table.NextTurn(time.Now(), 0)
+	if !next.IsSender {
+		return delay
+	}
+	return max(minTurnDelay, min(delay, next.Wait))
+}
+
+// minTurnDelay keeps a call from checking all the time while its turn is due but goes to a
+// more urgent one.
+const minTurnDelay = 2 * time.Millisecond
+
 // cannotMeetObjective reports whether even a target that takes only the baseline
 // service time would respond after the objective.
 func (r *run) cannotMeetObjective() bool {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -6,6 +6,7 @@
 	"github.com/apricotmount/apricotmount/dispatch"
 	"github.com/apricotmount/apricotmount/entry"
 	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/metrics"
 	"github.com/apricotmount/apricotmount/outcome"
 	"github.com/apricotmount/apricotmount/target"
 )
@@ -23,6 +24,8 @@
 	dispatch.Hedged:  event.CallHedged,
 	dispatch.Waiting: event.CallWaits,
 	dispatch.Failed:  event.CallFailed,
+
+	dispatch.HeldBack: event.CallHeldBack,
 }
 
 // ObserveDecision logs a decision on a call with the values it was based on.
@@ -36,7 +39,7 @@
 			zap.Float64("pace", d.LoadReport.SlowdownFactor), zap.Int64("report-age-ms", d.LoadReportAge.Milliseconds()))
 	}
 	if d.Limit.Status == target.LimitNamed {
-		fields = append(fields, zap.Float64("rate-limit", d.Limit.PerSecond), zap.Int64("rate-limit-age-ms", d.LimitAge.Milliseconds()))
+		fields = append(fields, zap.Float64("rate-limit", float64(d.Limit.PerSecond)), zap.Int64("rate-limit-age-ms", d.LimitAge.Milliseconds()))
 	}
 	if d.Target.Zone != n.settings.Zone {
 		fields = append(fields, zap.String("zone", string(d.Target.Zone)))
@@ -47,9 +50,33 @@
 	if d.Kind == dispatch.Failed {
 		fields = append(fields, zap.Stringer("result", d.Result), zap.Bool("written", d.Written))
 	}
+	if d.Kind == dispatch.HeldBack {
+		fields = append(fields, turnFields(d)...)
+	}
+	n.countLimited(d)
 	decisionEvents[d.Kind].Log(n.logger, fields...)
 }
 
+// turnFields returns the log fields of a call that rate limits hold back.
+func turnFields(d dispatch.Decision) []zap.Field {
+	return []zap.Field{
+		zap.Bool("refused", d.IsRefused), zap.Bool("has-turn", d.Turn.IsSender), zap.Int64("turn-ms", d.Turn.Wait.Milliseconds()), zap.Int("ahead", d.CallsAhead),
+		zap.Int("targets-limited", d.Turn.TargetCount), zap.Float64("rate-limit", float64(d.Turn.Rate)), zap.Int64("rate-limit-age-ms", d.Turn.OldestLimitAge.Milliseconds()),
+	}
+}
+
+// countLimited counts a decision that a rate limit had a part in.
+func (n *Node) countLimited(d dispatch.Decision) {
+	switch {
+	case d.Kind == dispatch.HeldBack && d.IsRefused:
+		n.gatewayMetrics.CountLimited(metrics.LimitedRefused)
+	case d.Kind == dispatch.HeldBack:
+		n.gatewayMetrics.CountLimited(metrics.LimitedWaiting)
+	case d.Kind == dispatch.Placed && d.Limit.Status == target.LimitNamed:
+		n.gatewayMetrics.CountLimited(metrics.LimitedSent)
+	}
+}
+
 // changeEvents maps a change that a target table reports to its log event.
 var changeEvents = map[target.Change]event.Event{
 	target.StateChanged:     event.TargetState,
@@ -66,11 +93,11 @@
 func (n *Node) logLimitChange(c target.LimitChange) {
 	fields := []zap.Field{zap.String("service", string(c.Ref.Service)), zap.String("target", string(c.Ref.ID)), zap.String("source", string(c.Source))}
 	if c.Previous.Status == target.LimitNamed {
-		fields = append(fields, zap.Float64("previous", c.Previous.PerSecond))
+		fields = append(fields, zap.Float64("previous", float64(c.Previous.PerSecond)))
 	}
 	switch c.Limit.Status {
 	case target.LimitNamed:
-		event.TargetLimited.Log(n.logger, append(fields, zap.Float64("limit", c.Limit.PerSecond))...)
+		event.TargetLimited.Log(n.logger, append(fields, zap.Float64("limit", float64(c.Limit.PerSecond)))...)
 	case target.LimitUnreadable:
 		event.TargetLimitInvalid.Log(n.logger, append(fields, zap.String("limit-text", c.Limit.Text))...)
 	default:
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -13,6 +13,7 @@
 	"github.com/apricotmount/apricotmount/dispatch"
 	"github.com/apricotmount/apricotmount/entry"
 	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/quota"
 	"github.com/apricotmount/apricotmount/retry"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/target"
@@ -34,6 +35,14 @@
 	targetIdleTimeout = 8 * time.Second
 )
 
+const (
+	// spareSenders is the number of nodes beyond one for each request a second that send
+	// to a target with a rate limit.
+	spareSenders = 2
+	// maxTurnLateness is as long as a waiting call may take to notice that it may be sent.
+	maxTurnLateness = 100 * time.Millisecond
+)
+
 var loadQuerySettings = target.LoadQuerySettings{MaxReportAge: maxReportAge, SameZoneCount: localQueryCount, OtherZoneCount: remoteQueryCount}
 
 // upstreams holds the services and targets of a node and the connections to them. It
@@ -41,6 +50,8 @@
 type upstreams struct {
 	node      *Node
 	admission *admission.Pool
+	// quota divides what targets with a rate limit take among the nodes of the fleet.
+	quota *quota.Limiter
 
 	active atomic.Pointer[activeConfig]
 
@@ -66,7 +77,7 @@
 }
 
 func newUpstreams(n *Node) *upstreams {
-	u := &upstreams{node: n, admission: admission.NewPool(0), connPools: map[vm.ID]*wire.Pool{}, roundRobins: map[string]*weightedRoundRobin{}, openQueries: map[vm.ID]chan struct{}{}}
+	u := &upstreams{node: n, admission: admission.NewPool(0), quota: &quota.Limiter{SpareSenders: spareSenders, MaxLateness: maxTurnLateness}, connPools: map[vm.ID]*wire.Pool{}, roundRobins: map[string]*weightedRoundRobin{}, openQueries: map[vm.ID]chan struct{}{}}
 	u.active.Store(&activeConfig{})
 	return u
 }
@@ -130,6 +141,7 @@
 		ids[i] = n.ID
 	}
 	slices.Sort(ids)
+	u.quota.SetFleet(u.node.self.ID, ids, fleetSize)
 	for name, s := range cfg.services {
 		s.dispatch.ExtraAttemptBudget.SetSettings(u.node.reloadable.Load().ExtraAttempts.share(sharingNodeCount(nodes)))
 		s.coldStartLimiter.Configure(s.service.ColdCallsPerSecond, u.node.self.ID, ids, fleetSize)
@@ -187,7 +199,7 @@
 	n := u.node
 	return &serviceState{service: s, coldStartLimiter: coldStartLimiter, dispatch: &dispatch.Service{
 		Table: target.NewTable(s.Service, target.Settings{
-			Zone: n.settings.Zone, ColdStartLeases: coldStartLimiter, OnChange: n.logTargetChange, OnLimitChange: n.logLimitChange, LoadQuery: loadQuerySettings, ListIsAuthoritative: true, Checks: n.invariants,
+			Zone: n.settings.Zone, ColdStartLeases: coldStartLimiter, OnChange: n.logTargetChange, OnLimitChange: n.logLimitChange, LoadQuery: loadQuerySettings, ListIsAuthoritative: true, Checks: n.invariants, Quota: u.quota,
 		}),
 		LoadQuerier:        u,
 		Gate:               u.admission.AddGate(s.MaxQueueLength),
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -16,6 +16,7 @@
 	scope             tally.Scope
 	loadQueries       tally.Counter
 	unansweredQueries tally.Counter
+	limited           map[LimitedResult]tally.Counter
 
 	// mu guards durations, which holds the histograms registered so far.
 	mu        sync.Mutex
@@ -45,14 +46,32 @@
 	LimitedTargetCount int
 }
 
+// LimitedResult is what became of a call whose targets name rate limits.
+type LimitedResult string
+
+// The results.
+const (
+	LimitedSent    LimitedResult = "sent"
+	LimitedWaiting LimitedResult = "waiting"
+	LimitedRefused LimitedResult = "refused"
+)
+
 // NewGateway registers the metrics in a scope. The counters start at 0.
 func NewGateway(scope tally.Scope) *Gateway {
 	g := &Gateway{scope: scope, loadQueries: scope.Counter("questions"), unansweredQueries: scope.Counter("questions_unanswered"), durations: map[durationKey]tally.Histogram{}}
 	g.loadQueries.Inc(0)
 	g.unansweredQueries.Inc(0)
+	g.limited = map[LimitedResult]tally.Counter{}
+	for _, r := range []LimitedResult{LimitedSent, LimitedWaiting, LimitedRefused} {
+		g.limited[r] = scope.Tagged(map[string]string{"result": string(r)}).Counter("calls_limited")
+		g.limited[r].Inc(0)
+	}
 	return g
 }
 
+// CountLimited counts a call that a rate limit let through or held back.
+func (g *Gateway) CountLimited(r LimitedResult) { g.limited[r].Inc(1) }
+
 // CountLoadQuery counts a load query to a target; isAnswered reports whether the
 // target responded in time.
 func (g *Gateway) CountLoadQuery(isAnswered bool) {
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -29,6 +29,7 @@
 	NoTarget          Reason = "no-target"
 	OnlyColdTargets   Reason = "only-cold-targets"
 	TargetsRefused    Reason = "targets-refused"
+	TargetsLimited    Reason = "targets-limited" // the targets' rate limits leave no capacity in time
 	ConnectFailed     Reason = "connect-failed"
 	KeyMissing        Reason = "key-missing"
 	KeyInvalid        Reason = "key-invalid"
@@ -57,7 +58,7 @@
 // NotRunReasons lists all reasons for the outcome NotRun.
 var NotRunReasons = []Reason{
 	NoService, BadDeadline, DeadlinePassed, DeadlineTooClose, TooDeep, QueueFull, QueueTimeout,
-	DisplacedByUrgent, NodeFull, NoTarget, OnlyColdTargets, TargetsRefused, ConnectFailed, KeyMissing,
+	DisplacedByUrgent, NodeFull, NoTarget, OnlyColdTargets, TargetsRefused, TargetsLimited, ConnectFailed, KeyMissing,
 	KeyInvalid, KeyReused, KeyTooOld, ClaimUnavailable, ClaimsBehind, ClaimLapsed, CallerGone,
 	UpgradeRefused, BodyBroken, NoPlan, BodyTooLong, HeadersTooLong,
 }
@@ -84,7 +85,7 @@
 // reasons of Unknown and for those that a retry of the same call does not remove.
 func AdviceFor(r Reason) Advice {
 	switch r {
-	case QueueFull, QueueTimeout, DeadlineTooClose, DisplacedByUrgent, NodeFull, TargetsRefused, ConnectFailed, OnlyColdTargets:
+	case QueueFull, QueueTimeout, DeadlineTooClose, DisplacedByUrgent, NodeFull, TargetsRefused, TargetsLimited, ConnectFailed, OnlyColdTargets:
 		return Advice{CanRetry: true, RetryAfter: shortRetryAfter}
 	case NoTarget, ClaimUnavailable, ClaimsBehind, ClaimLapsed:
 		return Advice{CanRetry: true, RetryAfter: longRetryAfter}
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -16,6 +16,17 @@
 // Rate is a number of calls a second.
 type Rate float64
 
+// maxDuration is the longest time that Duration returns.
+const maxDuration = 24 * time.Hour
+
+// Duration returns the time in which n calls may be sent at the rate, at most 24 h.
+func (r Rate) Duration(n int) time.Duration {
+	if n <= 0 {
+		return 0
+	}
+	return time.Duration(min(float64(n)/float64(r), maxDuration.Seconds()) * float64(time.Second))
+}
+
 // Limiter decides when this node may send to targets that take a limited rate of calls
 // from the whole fleet. Within any time d, the senders of one target send at most
 // rate × (d + MaxLateness) calls, and one more each. The zero value is that of a fleet of
@@ -115,13 +126,10 @@
 	return max(1, min(math.Floor(float64(rate))+float64(l.SpareSenders), float64(l.fleetSize)))
 }
 
-// maxInterval keeps the interval of tiny rates within the range of a duration.
-const maxInterval = 24 * time.Hour
-
 // interval returns the shortest time between two calls of one sender. l.mu must be held.
 func (l *Limiter) interval(rate Rate) time.Duration {
 	seconds := l.senderCount(rate) / float64(rate)
-	return max(time.Duration(min(seconds, maxInterval.Seconds())*float64(time.Second)), 1)
+	return max(time.Duration(min(seconds, maxDuration.Seconds())*float64(time.Second)), 1)
 }
 
 // rank returns the number of nodes before this one in the order in which nodes become
--- a/target/choice.go
+++ b/target/choice.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -41,6 +42,8 @@
 	instance    Instance
 	incarnation int64
 	startTick   tick
+	// hasTurn reports whether the attempt is counted against a rate limit.
+	hasTurn bool
 }
 
 // PickStatus is the status of a choice: PickOK, or the reason why no target
@@ -57,6 +60,9 @@
 	// PickBackedOff: every target that accepts work and is not ejected has asked for
 	// a time without requests; Table.BackOffRemaining returns the shortest.
 	PickBackedOff
+	// PickLimited: every target that accepts work and is not ejected names a rate limit,
+	// and this node may send it no call now; Table.NextTurn returns when it may.
+	PickLimited
 	// PickOnlyCold: every target that accepts work and is not ejected is in cold
 	// start, and this node has no lease on it; or the chosen target is in cold
 	// start, and ColdStartLeases.Allow permits no attempt now.
@@ -83,6 +89,8 @@
 	// IsWaiting reports whether the call found no target before and waits for a
 	// free slot.
 	IsWaiting bool
+	// AvoidLimited excludes targets with a rate limit.
+	AvoidLimited bool
 	// MaxForecast is the longest acceptable forecast; zero means no limit. It is
 	// ignored if the load of no target is known.
 	MaxForecast time.Duration
@@ -100,7 +108,7 @@
 func (t *Table) PickWithOptions(now time.Time, opts PickOptions) (reservation Reservation, status PickStatus) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	status = t.gatherCandidates(now, opts.Exclude)
+	status = t.gatherCandidates(now, opts, false)
 	if status != PickOK {
 		return Reservation{}, status
 	}
@@ -155,8 +163,9 @@
 }
 
 // gatherCandidates fills t.candidates and t.eligible with the targets that may
-// take an attempt. t.mu must be held.
-func (t *Table) gatherCandidates(now time.Time, exclude []vm.ID) PickStatus {
+// take an attempt. For load queries it adds targets whose rate limit keeps this
+// node from sending, but was named too long ago. t.mu must be held.
+func (t *Table) gatherCandidates(now time.Time, opts PickOptions, forLoadQuery bool) PickStatus {
 	t.candidates = t.candidates[:0]
 	t.eligible = t.eligible[:0]
 	status := PickNoTarget
@@ -174,11 +183,19 @@
 			status = max(status, PickOnlyCold)
 			continue
 		}
-		if !t.hasCapacity(e) || slices.Contains(exclude, e.ref.ID) {
+		heldBack := t.isHeldBack(e, now, opts)
+		if heldBack && !(forLoadQuery && now.Sub(e.limit.toldAt) > limitRecheckInterval) {
+			status = max(status, PickLimited)
+			continue
+		}
+		if !t.hasCapacity(e) || slices.Contains(opts.Exclude, e.ref.ID) {
 			status = PickNoneAvailable
 			continue
 		}
 		t.addCandidate(e, nowTick)
+		if heldBack {
+			t.candidates[len(t.candidates)-1].Forecast = math.MaxInt64
+		}
 	}
 	if len(t.candidates) > 0 {
 		return PickOK
@@ -263,6 +280,12 @@
 		}
 		reservation.IsCold, reservation.LeaseDeadline = true, deadline
 	}
+	if e.limit.inForce() {
+		if !t.takeTurn(e, now) {
+			return Reservation{}, PickLimited
+		}
+		reservation.hasTurn = true
+	}
 	reservation.startTick = t.toTick(now)
 	e.ownInFlight++
 	e.sentSinceReport++
@@ -283,12 +306,12 @@
 	if !e.acceptsWork() || t.toTick(now) < e.backOffUntil {
 		return false
 	}
-	if e.state != Cold {
-		return true
-	}
 	// In cold start, only an attempt that was reserved under a cold-start lease
 	// for this instance is sent; one reserved before the cold start is not.
-	return reservation.IsCold && now.Before(reservation.LeaseDeadline) && reservation.instance == e.instance
+	if e.state == Cold && !(reservation.IsCold && now.Before(reservation.LeaseDeadline) && reservation.instance == e.instance) {
+		return false
+	}
+	return reservation.hasTurn || !e.limit.inForce() || t.takeTurn(e, now)
 }
 
 // estimateOthersInFlight estimates how many attempts of other nodes are open at
--- a/target/forecast.go
+++ b/target/forecast.go
@@ -100,7 +100,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	query := t.settings.LoadQuery
-	if query == (LoadQuerySettings{}) || t.gatherCandidates(now, opts.Exclude) != PickOK {
+	if query == (LoadQuerySettings{}) || t.gatherCandidates(now, opts, true) != PickOK {
 		return nil
 	}
 	nowTick := t.toTick(now)
--- a/target/ratelimit.go
+++ b/target/ratelimit.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/apricotmount/apricotmount/quota"
 )
 
 // A target may name on its responses how many requests a second it takes from all nodes
@@ -25,7 +27,7 @@
 	Status LimitStatus
 	// PerSecond is the number of requests a second, from all nodes together. It is
 	// finite and not negative.
-	PerSecond float64
+	PerSecond quota.Rate
 	// Text is what an unreadable limit reads.
 	Text string
 }
@@ -83,6 +85,80 @@
 	}
 }
 
+// limitRecheckInterval is the age of the last word about a limit from which a node without
+// a turn queries the target again. Without it, a node that may not send to the target
+// would never learn that the limit has ended.
+const limitRecheckInterval = time.Second
+
+// isHeldBack reports whether a rate limit keeps this node from sending a call to a target
+// now. Hedges are never sent to such a target, since it has more calls than it wants.
+// t.mu must be held.
+func (t *Table) isHeldBack(e *entry, now time.Time, opts PickOptions) bool {
+	if !e.limit.inForce() {
+		return false
+	}
+	if opts.RequireFreeSlot || opts.AvoidLimited {
+		return true
+	}
+	wait, ok := t.settings.Quota.Wait(e.ref.ID, e.limit.limit.PerSecond, now)
+	return !ok || wait > 0
+}
+
+// takeTurn counts a call to a target against its rate limit, and reports whether it may be
+// sent. t.mu must be held.
+func (t *Table) takeTurn(e *entry, now time.Time) bool {
+	return t.settings.Quota.Take(e.ref.ID, e.limit.limit.PerSecond, now)
+}
+
+// Turn is when a node may send a call to targets with a rate limit, and why.
+type Turn struct {
+	// IsSender reports whether the node may send to any of the targets at all.
+	IsSender bool
+	// Wait is the time until the turn. Without one, it is the time in which the limits
+	// leave capacity for one call of each node, on average.
+	Wait time.Duration
+	// TargetCount is the number of targets with a limit, Rate the sum of their limits and
+	// OldestLimitAge the time since the one that was named longest ago.
+	TargetCount    int
+	Rate           quota.Rate
+	OldestLimitAge time.Duration
+}
+
+// maxTurnWait bounds Turn.Wait: a limit near zero may change soon.
+const maxTurnWait = 10 * time.Second
+
+// NextTurn returns the node's next turn at a target with a rate limit, if callsAhead other
+// calls go first.
+func (t *Table) NextTurn(now time.Time, callsAhead int) (turn Turn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ownRate := quota.Rate(0)
+	for _, e := range t.entries {
+		if !e.limit.inForce() || !e.acceptsWork() || t.toTick(now) < max(e.ejectedUntil, e.backOffUntil) {
+			continue
+		}
+		rate := e.limit.limit.PerSecond
+		turn.TargetCount++
+		turn.Rate += rate
+		turn.OldestLimitAge = max(turn.OldestLimitAge, now.Sub(e.limit.toldAt))
+		wait, isSender := t.settings.Quota.Wait(e.ref.ID, rate, now)
+		if !isSender {
+			continue
+		}
+		if !turn.IsSender || wait < turn.Wait {
+			turn.IsSender, turn.Wait = true, wait
+		}
+		ownRate += quota.Rate(1 / t.settings.Quota.Interval(rate).Seconds())
+	}
+	if turn.IsSender {
+		turn.Wait += ownRate.Duration(callsAhead)
+	} else {
+		turn.Wait = turn.Rate.Duration((callsAhead + 1) * t.settings.Quota.FleetSize())
+	}
+	turn.Wait = min(turn.Wait, maxTurnWait)
+	return turn
+}
+
 // notifyLimitChange calls Settings.OnLimitChange, if set. t.mu must be held.
 func (t *Table) notifyLimitChange(c LimitChange) {
 	if t.settings.OnLimitChange != nil {
--- a/target/table.go
+++ b/target/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apricotmount/apricotmount/invariant"
+	"github.com/apricotmount/apricotmount/quota"
 	"github.com/apricotmount/apricotmount/routing"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/vm"
@@ -34,6 +35,9 @@
 	// ListIsAuthoritative removes a target as soon as it is missing from the
 	// list.
 	ListIsAuthoritative bool
+	// Quota divides what targets with a rate limit take among the nodes of the fleet.
+	// Default that of a fleet of one node.
+	Quota *quota.Limiter
 	// ActualInFlight, if set, returns the actual number of calls open at a
 	// target. No node has this information; simulations set it for
 	// routing.Oracle.
@@ -152,6 +156,9 @@
 	if settings.ColdStartLeases == nil {
 		settings.ColdStartLeases = noLeases{}
 	}
+	if settings.Quota == nil {
+		settings.Quota = &quota.Limiter{}
+	}
 	if settings.Seed == 0 {
 		settings.Seed = rand.Uint64()
 	}
--- a/wire/protocol.go
+++ b/wire/protocol.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/apricotmount/apricotmount/quota"
 	"github.com/apricotmount/apricotmount/target"
 )
 
@@ -104,7 +105,7 @@
 	if err != nil || len(values) > 1 || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
 		return target.RateLimit{Status: target.LimitUnreadable, Text: strings.Join(values, ", ")}
 	}
-	return target.RateLimit{Status: target.LimitNamed, PerSecond: perSecond}
+	return target.RateLimit{Status: target.LimitNamed, PerSecond: quota.Rate(perSecond)}
 }
 
 // parseLoad parses the load report in the headers of a response.
