Tell the nodes of the zone of a rate limit that a target has named

A node that had not heard the target itself yet could send to it as before: with targets that name limits on responses to calls only, a second node sends them calls at once (TestNodeKeepsToLimitThatPeerWasTold fails without the message). A node that learns of a change from the target tells its links in the zone, one hop, with the age of the response and the target's process. A peer's word never undoes what the target said later, or within the longest time that a message may take. Nodes of older builds ignore the field.

A load query whose response names no limit ends one only if load queries have named it; without any word for a minute a limit ends by itself, so that a node without turns is not held back for good.

--- a/event/event.go
+++ b/event/event.go
@@ -108,7 +108,7 @@
 	TargetMute         = register(405, "target-mute", zap.InfoLevel, "A target did not respond to a load query; for a moment it gets no load query and counts as slow.")
 	TargetLeaving      = register(406, "target-leaving", zap.InfoLevel, "A target said on a response that it is about to stop; this node sends it no further calls.")
 	TargetBackedOff    = register(407, "target-backed-off", zap.InfoLevel, "A target refused a request and asked for a time without further ones; this node keeps to it.")
-	TargetLimited      = register(408, "target-limited", zap.WarnLevel, "A target named or changed the number of requests a second that it takes from all nodes together (fields limit and previous); the field source states the kind of response.")
+	TargetLimited      = register(408, "target-limited", zap.WarnLevel, "A target named or changed the number of requests a second that it takes from all nodes together (fields limit and previous); the field source states the kind of response, or that a peer told of it.")
 	TargetUnlimited    = register(409, "target-unlimited", zap.InfoLevel, "A target named no rate limit any more; the field previous holds the last one.")
 	TargetLimitInvalid = register(411, "target-limit-invalid", zap.WarnLevel, "A target named a rate limit that is no number, negative or infinite; what was in force before stays.")
 	MeasuringForgone   = register(410, "measuring-forgone", zap.DebugLevel, "A probe failed or was not sent, usually because the probe budget is spent; the field cause states why.")
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -89,7 +89,18 @@
 	target.TargetBackedOff:  event.TargetBackedOff,
 }
 
-// logLimitChange logs a change of a target's rate limit that its table reports.
+// handleLimitChange logs a change of a target's rate limit that its table reports, and
+// tells peers of it if the target has told this node. It runs with the table's lock held
+// and must not block.
+func (n *Node) handleLimitChange(c target.LimitChange) {
+	n.logLimitChange(c)
+	isDirect := c.Source == target.LimitFromCall || c.Source == target.LimitFromLoadQuery
+	if isDirect && c.Limit.Status != target.LimitUnreadable {
+		n.tellLimit(c)
+	}
+}
+
+// logLimitChange logs a change of a target's rate limit.
 func (n *Node) logLimitChange(c target.LimitChange) {
 	fields := []zap.Field{zap.String("service", string(c.Ref.Service)), zap.String("target", string(c.Ref.ID)), zap.String("source", string(c.Source))}
 	if c.Previous.Status == target.LimitNamed {
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -91,6 +91,64 @@
 	}
 }
 
+// A target names its limit on responses to calls only, so that a node learns of it from the
+// target when it is too late. A peer that was told must have passed it on before.
+func TestNodeKeepsToLimitThatPeerWasTold(t *testing.T) {
+	c := newStartedCluster(t, 2)
+	limited := c.targets["i-1"]
+	limited.NameLimitOnCallsOnly()
+	limited.SetLimit(0)
+	c.waitFor(waitTimeout, "a call to the limited target", func() bool { c.call(0); return limited.ArrivalCount() > 0 })
+	// The peer's word takes one hop.
+	time.Sleep(500 * time.Millisecond)
+	before := limited.ArrivalCount()
+	for range 40 {
+		if status, body := c.call(1); status != http.StatusOK {
+			t.Fatalf("call: got %d %q, want 200", status, body)
+		}
+	}
+	if got := limited.ArrivalCount() - before; got != 0 {
+		t.Errorf("calls of the other node: got %d, want none", got)
+	}
+}
+
+// All targets name a limit. They must get what they named and no more, and the callers
+// beyond must be refused at once, as not run, with a time to return.
+func TestCallersBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
+	c := newStartedCluster(t, 3)
+	const perSecond = 4
+	var arrivals [2]arrivalLog
+	for i, id := range []string{"i-1", "i-2"} {
+		arrivals[i].watch(c.targets[id])
+		c.targets[id].SetLimit(perSecond)
+	}
+	start := time.Now()
+	const duration = limitNotice + limitWindow + time.Second
+	statuses := c.offerLoad(20*time.Millisecond, duration)
+	for i := range arrivals {
+		if got, want := arrivals[i].busiest(start.Add(limitNotice)), allowedInWindow(perSecond); float64(got) > want {
+			t.Errorf("target %d: got %d calls within %s, want at most %.0f", i+1, got, limitWindow, want)
+		}
+	}
+	if got, want := statuses[http.StatusOK], int(0.8*2*perSecond*duration.Seconds()); got < want {
+		t.Errorf("calls served: got %d of %v, want at least %d", got, statuses, want)
+	}
+	if other := sum(statuses) - statuses[http.StatusOK] - statuses[http.StatusServiceUnavailable]; other != 0 {
+		t.Errorf("statuses: got %v, want 200 and 503 only", statuses)
+	}
+	sentAt := time.Now()
+	for time.Since(sentAt) < 2*time.Second {
+		callAt := time.Now()
+		resp := c.send(0)
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			if took := time.Since(callAt); took > 800*time.Millisecond || resp.Header.Get("Retry-After") == "" {
+				t.Errorf("refusal: got it after %s with Retry-After %q, want it at once with a time", took, resp.Header.Get("Retry-After"))
+			}
+		}
+	}
+}
+
 func sum(counts map[int]int) (total int) {
 	for _, n := range counts {
 		total += n
--- a/peer/message.go
+++ b/peer/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/apricotmount/apricotmount/codec"
 	"github.com/apricotmount/apricotmount/member"
+	"github.com/apricotmount/apricotmount/quota"
 	"github.com/apricotmount/apricotmount/replica"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/target"
@@ -18,8 +19,8 @@
 	// maxMessageBytes is the maximum length of a message, compressed and decompressed,
 	// checked before it is decoded.
 	maxMessageBytes = 2 << 20
-	// maxObservations limits the number of observations and of withdrawals in a
-	// message, maxEntries that of entries, of records and of nodes.
+	// maxObservations limits the number of observations, of rate limits and of
+	// withdrawals in a message, maxEntries that of entries, of records and of nodes.
 	maxObservations = 1024
 	maxEntries      = 4096
 	// maxPartRecords and maxPartBytes limit the records in one message by number and
@@ -45,6 +46,21 @@
 	AgeMillis uint32 `cbor:"5,keyasint"`
 }
 
+// TargetLimit is the rate limit that a target has named to the sender, or its end.
+type TargetLimit struct {
+	Service service.Name `cbor:"1,keyasint"`
+	ID      vm.ID        `cbor:"2,keyasint"`
+	// Incarnation is that of the target's process; zero if unknown.
+	Incarnation int64      `cbor:"3,keyasint,omitempty"`
+	PerSecond   quota.Rate `cbor:"4,keyasint"`
+	// Ended reports whether the target names no limit any more.
+	Ended bool `cbor:"5,keyasint,omitempty"`
+	// OnLoadQueries reports whether responses to load queries name the limit too.
+	OnLoadQueries bool `cbor:"6,keyasint,omitempty"`
+	// AgeMillis is the time since the target's response, in milliseconds.
+	AgeMillis uint32 `cbor:"7,keyasint"`
+}
+
 // Withdrawal is an operator's temporary withdrawal of an availability zone. It
 // spreads from node to node, so that it works while the platform's log is
 // unavailable. It can only remove work from a zone, and expires without further
@@ -97,6 +113,8 @@
 	// KnownNodeCount is the number of nodes in the sender's table, sent together with
 	// Sender.
 	KnownNodeCount int `cbor:"13,keyasint,omitempty"`
+	// Limits are rate limits that targets have named to the sender.
+	Limits []TargetLimit `cbor:"14,keyasint,omitempty"`
 }
 
 // Split divides the message into parts with at most maxPartRecords records and
@@ -158,7 +176,7 @@
 	if err := codec.Decode(b, &m); err != nil {
 		return Message{}, err
 	}
-	if len(m.Observations) > maxObservations || len(m.Entries) > maxEntries || len(m.Withdrawals) > maxObservations || len(m.Records) > maxEntries || len(m.Nodes) > maxEntries {
+	if len(m.Observations) > maxObservations || len(m.Limits) > maxObservations || len(m.Entries) > maxEntries || len(m.Withdrawals) > maxObservations || len(m.Records) > maxEntries || len(m.Nodes) > maxEntries {
 		return Message{}, eris.New("a list is too long")
 	}
 	return m, nil
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -16,6 +16,9 @@
 // Rate is a number of calls a second.
 type Rate float64
 
+// IsValid reports whether the rate is a finite number and not negative.
+func (r Rate) IsValid() bool { return r >= 0 && !math.IsInf(float64(r), 0) }
+
 // maxDuration is the longest time that Duration returns.
 const maxDuration = 24 * time.Hour
 
--- a/target/choice.go
+++ b/target/choice.go
@@ -183,6 +183,7 @@
 			status = max(status, PickOnlyCold)
 			continue
 		}
+		t.expireLimit(e, now)
 		heldBack := t.isHeldBack(e, now, opts)
 		if heldBack && !(forLoadQuery && now.Sub(e.limit.toldAt) > limitRecheckInterval) {
 			status = max(status, PickLimited)
--- a/target/ratelimit.go
+++ b/target/ratelimit.go
@@ -4,10 +4,12 @@
 	"time"
 
 	"github.com/apricotmount/apricotmount/quota"
+	"github.com/apricotmount/apricotmount/vm"
 )
 
 // A target may name on its responses how many requests a second it takes from all nodes
-// together. The limit is in force until a response of the same process names none.
+// together. The limit is in force until a response of the same process names none. Nodes
+// tell each other of limits, so that most keep to one before the target tells them.
 
 // LimitStatus tells whether a response names a rate limit.
 type LimitStatus uint8
@@ -39,6 +41,9 @@
 const (
 	LimitFromCall      LimitSource = "call"
 	LimitFromLoadQuery LimitSource = "load-query"
+	LimitFromPeer      LimitSource = "peer"
+	// LimitExpired: no response has named the limit for a long time.
+	LimitExpired LimitSource = "expired"
 )
 
 // LimitChange is a change of a target's rate limit as Settings.OnLimitChange receives it.
@@ -47,6 +52,12 @@
 	// Limit is what the response says, and Previous what was in force before.
 	Limit, Previous RateLimit
 	Source          LimitSource
+	// Incarnation is that of the target's process; zero if unknown.
+	Incarnation int64
+	// OnLoadQueries reports whether responses to load queries name the limit too.
+	OnLoadQueries bool
+	// ToldAt is when the response was received.
+	ToldAt time.Time
 }
 
 // limitState is what a node knows of a target's rate limit.
@@ -55,6 +66,9 @@
 	limit RateLimit
 	// toldAt is when the response that was last applied was received.
 	toldAt time.Time
+	// onLoadQueries reports whether a response to a load query has named a limit. If
+	// none has, such a response without a limit says nothing about it.
+	onLoadQueries bool
 	// hasLoggedUnreadable reports whether an unreadable limit was reported since the
 	// last readable one.
 	hasLoggedUnreadable bool
@@ -71,17 +85,63 @@
 	if r.ReceivedAt.IsZero() || r.ReceivedAt.Before(l.toldAt) || e.isReplaced(r.Instance) {
 		return
 	}
-	change := LimitChange{Ref: e.ref, Limit: r.Limit, Previous: l.limit, Source: source}
+	if source == LimitFromLoadQuery && r.Limit.Status == LimitAbsent && !l.onLoadQueries {
+		return
+	}
 	if r.Limit.Status == LimitUnreadable {
 		if !l.hasLoggedUnreadable {
-			t.notifyLimitChange(change)
+			t.notifyLimitChange(LimitChange{Ref: e.ref, Limit: r.Limit, Previous: l.limit, Source: source})
 		}
 		l.hasLoggedUnreadable = true
 		return
 	}
-	*l = limitState{limit: r.Limit, toldAt: r.ReceivedAt}
-	if change.Limit != change.Previous {
-		t.notifyLimitChange(change)
+	onLoadQueries := l.onLoadQueries || source == LimitFromLoadQuery
+	t.setLimit(e, limitState{limit: r.Limit, toldAt: r.ReceivedAt, onLoadQueries: onLoadQueries}, source)
+}
+
+// setLimit replaces what is known of a target's rate limit. t.mu must be held.
+func (t *Table) setLimit(e *entry, l limitState, source LimitSource) {
+	previous := e.limit.limit
+	e.limit = l
+	if l.limit != previous {
+		t.notifyLimitChange(LimitChange{Ref: e.ref, Limit: l.limit, Previous: previous, Source: source, Incarnation: e.incarnation, OnLoadQueries: l.onLoadQueries, ToldAt: l.toldAt})
+	}
+}
+
+// maxPeerDelay bounds how long a peer's word may have been on its way: a link without
+// messages for so long is closed.
+const maxPeerDelay = 2400 * time.Millisecond
+
+// PeerLimit is the rate limit that a target named to a peer, or its end.
+type PeerLimit struct {
+	ID            vm.ID
+	Limit         RateLimit
+	Incarnation   int64
+	OnLoadQueries bool
+	ToldAt        time.Time
+}
+
+// RecordPeerLimit records what a target told a peer. It is ignored for another process
+// than the listed one, and if this node heard the target itself so recently that the
+// peer's word may be older.
+func (t *Table) RecordPeerLimit(p PeerLimit) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.find(p.ID)
+	if e == nil || p.Incarnation != e.incarnation || p.ToldAt.Add(-maxPeerDelay).Before(e.limit.toldAt) {
+		return
+	}
+	t.setLimit(e, limitState{limit: p.Limit, toldAt: p.ToldAt, onLoadQueries: p.OnLoadQueries || e.limit.onLoadQueries}, LimitFromPeer)
+}
+
+// limitExpiry is the age of the last word about a limit from which it is no longer in
+// force: the target has answered no node that this one knows of.
+const limitExpiry = time.Minute
+
+// expireLimit ends a limit that was named too long ago. t.mu must be held.
+func (t *Table) expireLimit(e *entry, now time.Time) {
+	if e.limit.inForce() && now.Sub(e.limit.toldAt) > limitExpiry {
+		t.setLimit(e, limitState{toldAt: e.limit.toldAt}, LimitExpired)
 	}
 }
 
--- a/target/ratelimit_test.go
+++ b/target/ratelimit_test.go
@@ -194,3 +194,49 @@
 		t.Errorf("limits of zero: got %+v, want no turn and a wait of %v", got, maxTurnWait)
 	}
 }
+
+// A node keeps to a limit that a peer was told, unless the target itself told it something
+// else so recently that the peer's word may be older, or another process was meant.
+func TestPeerLimitHoldsUntilTargetSaysOtherwise(t *testing.T) {
+	limit := RateLimit{Status: LimitNamed, PerSecond: 0}
+	for _, tt := range []struct {
+		name string
+		// heardMs is when the target was heard without a limit, toldMs when it told the
+		// peer, in milliseconds; a negative heardMs means never.
+		heardMs, toldMs int
+		incarnation     int64
+		want            int
+	}{
+		{"target not heard", -1, 0, 7, 1},
+		{"heard long before", 0, 5000, 7, 1},
+		{"heard just before", 4900, 5000, 7, 0},
+		{"heard later", 5100, 5000, 7, 0},
+		{"another process", -1, 5000, 6, 0},
+	} {
+		table, now := newQueryTable(1, 0, nil)
+		table.SetList(now, []vm.VM{{ID: "near-0", Address: "n0", Zone: "a", Incarnation: 7}}, noneWithdrawn)
+		if tt.heardMs >= 0 {
+			table.RecordReport("near-0", now, limitedReport(3, now.Add(-time.Hour)))
+			table.RecordReport("near-0", now, plainReport(now.Add(time.Duration(tt.heardMs)*time.Millisecond)))
+		}
+		table.RecordPeerLimit(PeerLimit{ID: "near-0", Limit: limit, Incarnation: tt.incarnation, ToldAt: now.Add(time.Duration(tt.toldMs) * time.Millisecond)})
+		if got := table.Counts(now).Limited; got != tt.want {
+			t.Errorf("%s: got %d limited targets, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
+// If only responses to calls name a limit, a load query does not end it. Without a word for
+// a long time it ends by itself, so that a node without turns is not held back for good.
+func TestLoadQueryWithoutLimitsDoesNotEndLimit(t *testing.T) {
+	table, now := newQueryTable(1, 0, nil)
+	reservation, _ := table.PickWithOptions(now, PickOptions{})
+	table.Finish(reservation, now, Answered, limitedReport(0, now))
+	table.RecordReport("near-0", now, plainReport(now.Add(time.Second)))
+	if _, status := table.PickWithOptions(now.Add(2*time.Second), PickOptions{}); status != PickLimited {
+		t.Errorf("after a load query: got %v, want PickLimited", status)
+	}
+	if _, status := table.PickWithOptions(now.Add(2*limitExpiry), PickOptions{}); status != PickOK {
+		t.Errorf("after %v without a word: got %v, want PickOK", 2*limitExpiry, status)
+	}
+}
--- a/wire/protocol.go
+++ b/wire/protocol.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -101,11 +100,12 @@
 	if len(values) == 0 {
 		return target.RateLimit{}
 	}
-	perSecond, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
-	if err != nil || len(values) > 1 || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+	number, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
+	rate := quota.Rate(number)
+	if err != nil || len(values) > 1 || !rate.IsValid() {
 		return target.RateLimit{Status: target.LimitUnreadable, Text: strings.Join(values, ", ")}
 	}
-	return target.RateLimit{Status: target.LimitNamed, PerSecond: quota.Rate(perSecond)}
+	return target.RateLimit{Status: target.LimitNamed, PerSecond: rate}
 }
 
 // parseLoad parses the load report in the headers of a response.
