Drop a node that stops as planned and does not return within ten seconds

A node that left for good held its share of each limit that the fleet divides until the others forgot it, a minute later: turns at targets with a rate limit, cold starts, connections. A stopping node now says so to its peers, who pass it on once; it is dropped after 10 s unless it is seen again, so that a restart changes nothing. A node that is killed, or silent, is kept as before: a zone that is cut off must not make each side take the whole. TestNodeThatLeavesIsDroppedUnlessItReturns does not build on the code before; there the node stays for 60 s (nodeRetention).

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -9,27 +9,54 @@
 type listedNode struct {
 	node     vm.VM
 	listedAt time.Time
+	// leftAt is when the node began a planned stop; zero if it was seen since.
+	leftAt time.Time
 }
 
-// addNodes adds or renews nodes of the fleet, and reports whether any is new.
+// leaveRetention is how long a node that has begun a planned stop is kept: a restarted one
+// is back by then.
+const leaveRetention = 10 * time.Second
+
+// isGone reports whether the node is no longer one of the fleet.
+func (n listedNode) isGone(now time.Time) bool {
+	return now.Sub(n.listedAt) > nodeRetention || !n.leftAt.IsZero() && now.Sub(n.leftAt) > leaveRetention
+}
+
+// markLeft records that nodes have begun a planned stop, and returns those of which this
+// was not known.
+func (s *nodeState) markLeft(ids []vm.ID, now time.Time) (news []vm.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		if n, known := s.nodes[id]; known && n.leftAt.IsZero() {
+			n.leftAt = now
+			s.nodes[id] = n
+			news = append(news, id)
+		}
+	}
+	return news
+}
+
+// addNodes adds or renews nodes of the fleet, and reports whether any is new or back.
 func (s *nodeState) addNodes(nodes []vm.VM, now time.Time) (hasNew bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, n := range nodes {
-		if _, known := s.nodes[n.ID]; !known {
-			hasNew = true
+		former, known := s.nodes[n.ID]
+		if !known {
 			s.revision++
 		}
+		hasNew = hasNew || !known || !former.leftAt.IsZero()
 		s.nodes[n.ID] = listedNode{node: n, listedAt: now}
 	}
 	return hasNew
 }
 
-// listedNodesLocked returns the nodes listed within nodeRetention and removes the others.
+// listedNodesLocked returns the nodes that are not gone and removes the others.
 // s.mu must be held.
 func (s *nodeState) listedNodesLocked(now time.Time) (nodes []vm.VM) {
 	for id, n := range s.nodes {
-		if now.Sub(n.listedAt) > nodeRetention {
+		if n.isGone(now) {
 			delete(s.nodes, id)
 			s.revision++
 			continue
@@ -54,7 +81,7 @@
 	return max(len(known), estimated)
 }
 
-// fleetNodes returns the nodes listed within nodeRetention, always including this one.
+// fleetNodes returns the nodes that are not gone, always including this one.
 func (s *nodeState) fleetNodes(now time.Time) []vm.VM {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -39,7 +39,11 @@
 // rotation.
 func (d peerDelegate) State() peer.Message {
 	now := time.Now()
-	return peer.Message{Sender: &d.node.self, KnownNodeCount: len(d.node.state.fleetNodes(now)), Marks: d.node.state.marks(now)}
+	m := peer.Message{Marks: d.node.state.marks(now)}
+	if !d.node.isLeaving.Load() {
+		m.Sender, m.KnownNodeCount = &d.node.self, len(d.node.state.fleetNodes(now))
+	}
+	return m
 }
 
 // Receive applies a peer's message and forwards what is new in it. Marks from another
@@ -61,6 +65,14 @@
 	n.receiveRecords(m.Records, l, now)
 	n.receiveMarks(m.Marks, l, now)
 	n.receiveLimits(m.Limits, now)
+	n.receiveLeft(m.Left, l, now)
+}
+
+// receiveLeft records which nodes have begun a planned stop, and forwards what is new.
+func (n *Node) receiveLeft(ids []vm.ID, from *peer.Link, now time.Time) {
+	if news := n.state.markLeft(ids, now); len(news) > 0 {
+		n.hub.Broadcast(peer.Message{Left: news}, from)
+	}
 }
 
 // receiveLimits applies rate limits that targets have named to a peer. They are not
--- a/gateway/state_test.go
+++ b/gateway/state_test.go
@@ -342,6 +342,36 @@
 	}
 }
 
+// A node that stops as planned and does not return must not hold its share of the fleet's
+// limits for as long as one that is only silent; one that returns must stay.
+func TestNodeThatLeavesIsDroppedUnlessItReturns(t *testing.T) {
+	s, now := newTestState(), time.Now()
+	s.addNodes([]vm.VM{{ID: "leaves"}, {ID: "returns"}, {ID: "silent"}}, now)
+	if got := s.markLeft([]vm.ID{"leaves", "returns", "unknown"}, now); len(got) != 2 {
+		t.Errorf("nodes newly marked: got %v, want those known", got)
+	}
+	if got := s.markLeft([]vm.ID{"leaves"}, now); len(got) != 0 {
+		t.Errorf("marked again: got %v, want none, so that it is not forwarded for ever", got)
+	}
+	if got := len(s.fleetNodes(now.Add(time.Second))); got != 4 {
+		t.Errorf("nodes one second later: got %d, want all and this one", got)
+	}
+	if !s.addNodes([]vm.VM{{ID: "returns"}}, now.Add(3*time.Second)) {
+		t.Error("a node that returns: got nothing new, want it told to others")
+	}
+	before := s.currentRevision()
+	ids := map[vm.ID]bool{}
+	for _, n := range s.fleetNodes(now.Add(leaveRetention + time.Second)) {
+		ids[n.ID] = true
+	}
+	if ids["leaves"] || !ids["returns"] || !ids["silent"] {
+		t.Errorf("nodes after %v: got %v, want all but the one that left", leaveRetention, ids)
+	}
+	if s.currentRevision() == before {
+		t.Error("revision: got the same, want a new one")
+	}
+}
+
 // The state is applied only when its revision has changed, so whatever changes a snapshot
 // or the fleet's nodes must change it, and nothing else: a heartbeat or a known node.
 func TestRevisionFollowsChanges(t *testing.T) {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -8,6 +8,8 @@
 
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/pause"
+	"github.com/apricotmount/apricotmount/peer"
+	"github.com/apricotmount/apricotmount/vm"
 )
 
 const (
@@ -32,6 +34,7 @@
 	event.NodeLeaving.Log(n.logger, zap.Int64("open", n.handler.OpenCallCount()))
 	n.logReadinessChange()
 	n.handler.SetDraining()
+	n.hub.Broadcast(peer.Message{Left: []vm.ID{n.self.ID}}, nil)
 	start := time.Now()
 	n.goroutines.Go(n.leave)
 	pause.For(ctx, acceptDuration(n.reloadable.Load().GracePeriod))
--- a/peer/message.go
+++ b/peer/message.go
@@ -115,6 +115,8 @@
 	KnownNodeCount int `cbor:"13,keyasint,omitempty"`
 	// Limits are rate limits that targets have named to the sender.
 	Limits []TargetLimit `cbor:"14,keyasint,omitempty"`
+	// Left are nodes that have begun a planned stop.
+	Left []vm.ID `cbor:"15,keyasint,omitempty"`
 }
 
 // Split divides the message into parts with at most maxPartRecords records and
@@ -176,7 +178,7 @@
 	if err := codec.Decode(b, &m); err != nil {
 		return Message{}, err
 	}
-	if len(m.Observations) > maxObservations || len(m.Limits) > maxObservations || len(m.Entries) > maxEntries || len(m.Withdrawals) > maxObservations || len(m.Records) > maxEntries || len(m.Nodes) > maxEntries {
+	if len(m.Observations) > maxObservations || len(m.Limits) > maxObservations || len(m.Entries) > maxEntries || len(m.Withdrawals) > maxObservations || len(m.Records) > maxEntries || len(m.Nodes) > maxEntries || len(m.Left) > maxEntries {
 		return Message{}, eris.New("a list is too long")
 	}
 	return m, nil
