Log a header of the targets' protocol that this version does not know

A header with a prefix of the protocol that is none of the known ones is logged once for each service (event 412). TestParseReportNamesUnknownHeaders and TestUnknownHeaderIsReportedOnce need what this commit adds.

--- a/event/event.go
+++ b/event/event.go
@@ -100,18 +100,19 @@
 
 // Events of targets.
 var (
-	TargetState        = register(400, "target-state", zap.InfoLevel, "The state of a target changed in this node's view.")
-	TargetInstance     = register(401, "target-instance", zap.WarnLevel, "A target responds as another instance than before; it is treated as in cold start.")
-	TargetEjected      = register(402, "target-ejected", zap.WarnLevel, "A target fails or is much slower than the other targets of its service; it gets no calls for a while.")
-	TargetReturned     = register(403, "target-returned", zap.InfoLevel, "The trial call to an ejected target succeeded; the target gets its share of calls again.")
-	MostTargetsFailing = register(404, "most-targets-failing", zap.WarnLevel, "Most targets of a service appear faulty at the same time; this is taken for a false alarm, and no further target is ejected.")
-	TargetMute         = register(405, "target-mute", zap.InfoLevel, "A target did not respond to a load query; for a moment it gets no load query and counts as slow.")
-	TargetLeaving      = register(406, "target-leaving", zap.InfoLevel, "A target said on a response that it is about to stop; this node sends it no further calls.")
-	TargetBackedOff    = register(407, "target-backed-off", zap.InfoLevel, "A target refused a request and asked for a time without further ones; this node keeps to it.")
-	TargetLimited      = register(408, "target-limited", zap.WarnLevel, "A target named or changed the number of requests a second that it takes from all nodes together (fields limit and previous); the field source states the kind of response, or that a peer told of it.")
-	TargetUnlimited    = register(409, "target-unlimited", zap.InfoLevel, "A target named no rate limit any more; the field previous holds the last one.")
-	TargetLimitInvalid = register(411, "target-limit-invalid", zap.WarnLevel, "A target named a rate limit that is no number, negative or infinite; what was in force before stays.")
-	MeasuringForgone   = register(410, "measuring-forgone", zap.DebugLevel, "A probe failed or was not sent, usually because the probe budget is spent; the field cause states why.")
+	TargetState         = register(400, "target-state", zap.InfoLevel, "The state of a target changed in this node's view.")
+	TargetInstance      = register(401, "target-instance", zap.WarnLevel, "A target responds as another instance than before; it is treated as in cold start.")
+	TargetEjected       = register(402, "target-ejected", zap.WarnLevel, "A target fails or is much slower than the other targets of its service; it gets no calls for a while.")
+	TargetReturned      = register(403, "target-returned", zap.InfoLevel, "The trial call to an ejected target succeeded; the target gets its share of calls again.")
+	MostTargetsFailing  = register(404, "most-targets-failing", zap.WarnLevel, "Most targets of a service appear faulty at the same time; this is taken for a false alarm, and no further target is ejected.")
+	TargetMute          = register(405, "target-mute", zap.InfoLevel, "A target did not respond to a load query; for a moment it gets no load query and counts as slow.")
+	TargetLeaving       = register(406, "target-leaving", zap.InfoLevel, "A target said on a response that it is about to stop; this node sends it no further calls.")
+	TargetBackedOff     = register(407, "target-backed-off", zap.InfoLevel, "A target refused a request and asked for a time without further ones; this node keeps to it.")
+	TargetLimited       = register(408, "target-limited", zap.WarnLevel, "A target named or changed the number of requests a second that it takes from all nodes together (fields limit and previous); the field source states the kind of response, or that a peer told of it.")
+	TargetUnlimited     = register(409, "target-unlimited", zap.InfoLevel, "A target named no rate limit any more; the field previous holds the last one.")
+	TargetLimitInvalid  = register(411, "target-limit-invalid", zap.WarnLevel, "A target named a rate limit that is no number, negative or infinite; what was in force before stays.")
+	TargetHeaderUnknown = register(412, "target-header-unknown", zap.WarnLevel, "Responses carry a header of the protocol between targets and nodes that this version does not know (field header): it is forwarded to callers and changes nothing here. Logged once for each header and service.")
+	MeasuringForgone    = register(410, "measuring-forgone", zap.DebugLevel, "A probe failed or was not sent, usually because the probe budget is spent; the field cause states why.")
 )
 
 // Events of peers.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -89,6 +89,11 @@
 	target.TargetBackedOff:  event.TargetBackedOff,
 }
 
+// logUnknownHeader logs a header of the protocol that this version does not know.
+func (n *Node) logUnknownHeader(ref target.Ref, name string) {
+	event.TargetHeaderUnknown.Log(n.logger, zap.String("service", string(ref.Service)), zap.String("target", string(ref.ID)), zap.String("header", name))
+}
+
 // handleLimitChange logs a change of a target's rate limit that its table reports, and
 // tells peers of it if the target has told this node. It runs with the table's lock held
 // and must not block.
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -199,7 +199,7 @@
 	n := u.node
 	return &serviceState{service: s, coldStartLimiter: coldStartLimiter, dispatch: &dispatch.Service{
 		Table: target.NewTable(s.Service, target.Settings{
-			Zone: n.settings.Zone, ColdStartLeases: coldStartLimiter, OnChange: n.logTargetChange, OnLimitChange: n.handleLimitChange, LoadQuery: loadQuerySettings, ListIsAuthoritative: true, Checks: n.invariants, Quota: u.quota,
+			Zone: n.settings.Zone, ColdStartLeases: coldStartLimiter, OnChange: n.logTargetChange, OnLimitChange: n.handleLimitChange, OnUnknownHeader: n.logUnknownHeader, LoadQuery: loadQuerySettings, ListIsAuthoritative: true, Checks: n.invariants, Quota: u.quota,
 		}),
 		LoadQuerier:        u,
 		Gate:               u.admission.AddGate(s.MaxQueueLength),
--- a/target/notice.go
+++ b/target/notice.go
@@ -11,6 +11,7 @@
 	if e.isReplaced(r.Instance) {
 		return
 	}
+	t.reportUnknownHeaders(e, r)
 	if r.IsLeaving && !e.saidLeaving {
 		e.saidLeaving = true
 		t.notifyChange(e, TargetLeaving)
@@ -24,6 +25,24 @@
 	}
 }
 
+// maxUnknownHeaders bounds the unknown headers that are reported.
+const maxUnknownHeaders = 32
+
+// reportUnknownHeaders calls Settings.OnUnknownHeader for headers that were not seen
+// before. t.mu must be held.
+func (t *Table) reportUnknownHeaders(e *entry, r Report) {
+	for _, name := range r.UnknownHeaders {
+		if t.unknownHeaders[name] || len(t.unknownHeaders) >= maxUnknownHeaders || t.settings.OnUnknownHeader == nil {
+			continue
+		}
+		if t.unknownHeaders == nil {
+			t.unknownHeaders = map[string]bool{}
+		}
+		t.unknownHeaders[name] = true
+		t.settings.OnUnknownHeader(e.ref, name)
+	}
+}
+
 // clearNotices forgets what the target's former process said about further requests.
 func (e *entry) clearNotices() {
 	e.saidLeaving = false
--- a/target/notice_test.go
+++ b/target/notice_test.go
@@ -94,3 +94,19 @@
 		t.Error("probe: got one due, want none while the target is backed off")
 	}
 }
+
+// An unknown header is reported once, however many responses carry it.
+func TestUnknownHeaderIsReportedOnce(t *testing.T) {
+	var got []string
+	table, now := newQueryTable(2, 0, nil)
+	table.settings.OnUnknownHeader = func(_ Ref, name string) { got = append(got, name) }
+	report := plainReport(now)
+	report.UnknownHeaders = []string{"Server-Pressure"}
+	for range 3 {
+		table.RecordReport("near-0", now, report)
+		table.RecordReport("near-1", now, report)
+	}
+	if want := []string{"Server-Pressure"}; !slices.Equal(got, want) {
+		t.Errorf("headers: got %v, want %v", got, want)
+	}
+}
--- a/target/state.go
+++ b/target/state.go
@@ -80,6 +80,9 @@
 	RetryAfter time.Duration
 	// Limit is the rate limit that the response names.
 	Limit RateLimit
+	// UnknownHeaders are the names of headers of the protocol between targets and nodes
+	// that this version does not know.
+	UnknownHeaders []string
 	// ReceivedAt is when the headers of the response were received; zero if there was
 	// no response.
 	ReceivedAt time.Time
--- a/target/table.go
+++ b/target/table.go
@@ -30,6 +30,9 @@
 	// OnLimitChange, if set, is called when a target's rate limit begins, changes or
 	// ends, and for an unreadable one. The table is locked during the call.
 	OnLimitChange func(c LimitChange)
+	// OnUnknownHeader, if set, is called once for each header of the protocol that
+	// responses carry and this version does not know. The table is locked during the call.
+	OnUnknownHeader func(ref Ref, name string)
 	// LoadQuery, unless zero, makes choices use forecasts from load queries.
 	LoadQuery LoadQuerySettings
 	// ListIsAuthoritative removes a target as soon as it is missing from the
@@ -132,6 +135,8 @@
 	// ranked is reused by markPreferred.
 	ranked []*entry
 	rng    *rand.Rand
+	// unknownHeaders holds the headers that were passed to Settings.OnUnknownHeader.
+	unknownHeaders map[string]bool
 	// epoch is the first time passed to the table; ticks count from it.
 	epoch time.Time
 	// avgLatencySeconds, failureRate and avgOthersInFlight are moving averages
--- a/wire/protocol.go
+++ b/wire/protocol.go
@@ -52,6 +52,10 @@
 	// ProofHeader is present on each response made by a target itself; a
 	// successful response (2xx) without it is rejected.
 	ProofHeader string
+	// HeaderPrefixes are the prefixes of the names of all headers of the protocol. A
+	// header of a response that has one and is not known is reported. Empty ones are
+	// ignored.
+	HeaderPrefixes [2]string
 }
 
 // DefaultProtocol is used if the settings do not specify a protocol.
@@ -71,6 +75,7 @@
 	report := p.parseLoad(resp.Header)
 	report.ReceivedAt = time.Now()
 	report.Limit = p.parseLimit(resp.Header)
+	report.UnknownHeaders = p.unknownHeaders(resp.Header)
 	report.IsLeaving = p.LeavingHeader != "" && resp.Header.Get(p.LeavingHeader) != ""
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		report.RetryAfter = parseRetryAfter(resp.Header)
@@ -91,6 +96,40 @@
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
+// unknownHeaders returns the names of the headers that belong to the protocol by their
+// prefix, but are none of those that this version knows.
+func (p Protocol) unknownHeaders(h http.Header) (names []string) {
+	for name := range h {
+		if p.hasHeaderPrefix(name) && !p.isKnownHeader(name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// hasHeaderPrefix reports whether a header belongs to the protocol by its prefix.
+func (p Protocol) hasHeaderPrefix(name string) bool {
+	for _, prefix := range p.HeaderPrefixes {
+		if prefix != "" && strings.HasPrefix(name, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// isKnownHeader reports whether a header is one of the protocol's, by its canonical name.
+func (p Protocol) isKnownHeader(name string) bool {
+	for _, known := range []string{
+		p.InstanceHeader, p.StateHeader, p.InFlightHeader, p.RefusalHeader, p.DeadlineHeader, p.LoadHeader, p.ColdHeader,
+		p.ExpectHeader, p.IDHeader, p.LeavingHeader, p.LimitHeader, p.ProofHeader,
+	} {
+		if known != "" && http.CanonicalHeaderKey(known) == name {
+			return true
+		}
+	}
+	return false
+}
+
 // parseLimit returns the rate limit that the headers name.
 func (p Protocol) parseLimit(h http.Header) target.RateLimit {
 	if p.LimitHeader == "" {
--- a/wire/protocol_test.go
+++ b/wire/protocol_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,3 +88,17 @@
 		})
 	}
 }
+
+// A word of a target that this version does not know must be seen, and headers of others
+// must not be taken for one.
+func TestParseReportNamesUnknownHeaders(t *testing.T) {
+	p := DefaultProtocol
+	p.HeaderPrefixes, p.LimitHeader = [2]string{"Server-"}, "server-limit"
+	h := http.Header{"Server-Limit": {"1"}, "Server-Pressure": {"9"}, "Server": {"x"}, "Content-Type": {"text/plain"}}
+	if got, want := p.ParseReport(&http.Response{Header: h}).UnknownHeaders, []string{"Server-Pressure"}; !slices.Equal(got, want) {
+		t.Errorf("unknown headers: got %v, want %v", got, want)
+	}
+	if got := DefaultProtocol.ParseReport(&http.Response{Header: h}).UnknownHeaders; got != nil {
+		t.Errorf("without prefixes: got %v, want none", got)
+	}
+}
