Pass on once that a node leaves and that it is back

Word that a node leaves and word that it is back crossed each other and went round in the fleet's circles of links for ever, since each one undid the other at every node.

A node now believes that another leaves at most once in 30 s, and that it is back once after that, so each word is forwarded once by each node.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -9,17 +9,26 @@
 type listedNode struct {
 	node     vm.VM
 	listedAt time.Time
-	// leftAt is when the node began a planned stop; zero if it was seen since.
+	// leftAt is when this node heard that the node began a planned stop, and isBack
+	// reports whether it was seen since.
 	leftAt time.Time
+	isBack bool
 }
 
-// leaveRetention is how long a node that has begun a planned stop is kept: a restarted one
-// is back by then.
-const leaveRetention = 10 * time.Second
+const (
+	// leaveRetention is how long a node that has begun a planned stop is kept: a restarted
+	// one is back by then.
+	leaveRetention = 10 * time.Second
+	// minLeaveInterval is the shortest time after which a node is believed to leave again.
+	// Messages that it left and that it is back cross each other on their way through the
+	// fleet; each node must pass on each of them only once.
+	minLeaveInterval = 30 * time.Second
+)
 
 // isGone reports whether the node is no longer one of the fleet.
 func (n listedNode) isGone(now time.Time) bool {
-	return now.Sub(n.listedAt) > nodeRetention || !n.leftAt.IsZero() && now.Sub(n.leftAt) > leaveRetention
+	hasLeft := !n.leftAt.IsZero() && !n.isBack
+	return now.Sub(n.listedAt) > nodeRetention || hasLeft && now.Sub(n.leftAt) > leaveRetention
 }
 
 // markLeft records that nodes have begun a planned stop, and returns those of which this
@@ -28,11 +37,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, id := range ids {
-		if n, known := s.nodes[id]; known && n.leftAt.IsZero() {
-			n.leftAt = now
-			s.nodes[id] = n
-			news = append(news, id)
+		n, known := s.nodes[id]
+		if !known || !n.leftAt.IsZero() && now.Sub(n.leftAt) < minLeaveInterval {
+			continue
 		}
+		n.leftAt, n.isBack = now, false
+		s.nodes[id] = n
+		news = append(news, id)
 	}
 	return news
 }
@@ -46,8 +57,9 @@
 		if !known {
 			s.revision++
 		}
-		hasNew = hasNew || !known || !former.leftAt.IsZero()
-		s.nodes[n.ID] = listedNode{node: n, listedAt: now}
+		isBack := !former.leftAt.IsZero()
+		hasNew = hasNew || !known || isBack && !former.isBack
+		s.nodes[n.ID] = listedNode{node: n, listedAt: now, leftAt: former.leftAt, isBack: isBack}
 	}
 	return hasNew
 }
--- a/gateway/state_test.go
+++ b/gateway/state_test.go
@@ -372,6 +372,25 @@
 	}
 }
 
+// Word that a node left, and that it is back, cross each other in a fleet whose links form
+// circles. Each node must pass each of them on once, or they go round for ever.
+func TestWordOfLeavingNodeIsForwardedOnce(t *testing.T) {
+	s, now := newTestState(), time.Now()
+	node := []vm.VM{{ID: "n"}}
+	s.addNodes(node, now)
+	forwarded := 0
+	for i := range 100 {
+		at := now.Add(time.Duration(i) * 10 * time.Millisecond)
+		forwarded += len(s.markLeft([]vm.ID{"n"}, at))
+		if s.addNodes(node, at) {
+			forwarded++
+		}
+	}
+	if forwarded != 2 {
+		t.Errorf("messages forwarded: got %d, want 2", forwarded)
+	}
+}
+
 // The state is applied only when its revision has changed, so whatever changes a snapshot
 // or the fleet's nodes must change it, and nothing else: a heartbeat or a known node.
 func TestRevisionFollowsChanges(t *testing.T) {
