Do not take the late copy of a call's response for a load report

Looked for after what operators of similar systems saw: a server sent a second copy of an answer on a connection that was in use again. Calls check the ID of their response, load queries did not: a copy that came while a load query was under way became the target's load, state and health, and the real response was left for the next call on the connection, which then ended as lost. A response with a call's ID now ends the query and the connection.

--- a/wire/probe.go
+++ b/wire/probe.go
@@ -5,9 +5,15 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/apricotmount/apricotmount/target"
 )
 
+// errForeignResponse is returned if the response to a probe is that to a call, which the
+// target has sent a second time.
+var errForeignResponse = eris.New("the response belongs to a call")
+
 // sendProbe sends a probe over a connection and returns the load report.
 func (p *Pool) sendProbe(ctx context.Context, c *Conn) (report target.Report, err error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -22,6 +28,9 @@
 		return target.Report{}, err
 	}
 	defer resp.Body.Close()
+	if p.settings.Protocol.answersCall(resp) {
+		return target.Report{}, errForeignResponse
+	}
 	if err := drain(resp.Body); err != nil {
 		return target.Report{}, err
 	}
--- a/wire/protocol.go
+++ b/wire/protocol.go
@@ -229,6 +229,11 @@
 	return id == sent.Get(p.IDHeader) || id == "" && p.IsRefusal(resp)
 }
 
+// answersCall reports whether a response belongs to a call, by its ID.
+func (p Protocol) answersCall(resp *http.Response) bool {
+	return p.IDHeader != "" && resp.Header.Get(p.IDHeader) != ""
+}
+
 // IsGenuine reports whether a response belongs to the call, according to IDHeader,
 // and was made by a target, according to ProofHeader. Only a successful response
 // needs a proof.
