Divide what the fleet may do by its size that the store told

After a herd kill of 133 nodes the extra attempts of a window add up to 6,650 where 600 are allowed (by the formula before: 600/12 at each of 133 nodes), until the nodes have found each other. The same size of the fleet as for cold targets and rate limits is used now: that which the last join told, if it is larger than the number of known nodes. A fleet of one node has the whole after ten seconds instead of a twelfth for ever.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -78,6 +78,10 @@
 	return nodes
 }
 
+// assumedNodeCount is the assumed size of the fleet before other nodes are known. It keeps a
+// node from using more than its share of the fleet's limits.
+const assumedNodeCount = 12
+
 // settleTime is how long after its start a node that knows no other assumes that there
 // are some: nodes that start together take as long to find each other.
 const settleTime = 10 * time.Second
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -307,18 +307,6 @@
 	n.logReadinessChange()
 }
 
-// assumedNodeCount is the assumed size of the fleet before other nodes are known. It
-// keeps a node from using more than its share of the fleet's limits.
-const assumedNodeCount = 12
-
-// sharingNodeCount returns among how many nodes the fleet's limits are divided.
-func sharingNodeCount(nodes []vm.VM) int {
-	if len(nodes) == 1 {
-		return assumedNodeCount
-	}
-	return len(nodes)
-}
-
 // readerID returns the node's ID as a reader of the store: the random number that
 // also identifies its process to peers.
 func (n *Node) readerID() replica.ReaderID {
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -143,7 +143,7 @@
 	slices.Sort(ids)
 	u.quota.SetFleet(u.node.self.ID, ids, fleetSize)
 	for name, s := range cfg.services {
-		s.dispatch.ExtraAttemptBudget.SetSettings(u.node.reloadable.Load().ExtraAttempts.share(sharingNodeCount(nodes)))
+		s.dispatch.ExtraAttemptBudget.SetSettings(u.node.reloadable.Load().ExtraAttempts.share(fleetSize))
 		s.coldStartLimiter.Configure(s.service.ColdCallsPerSecond, u.node.self.ID, ids, fleetSize)
 		s.dispatch.Table.SetService(s.service.Service)
 		s.dispatch.Table.SetList(now, byService[name], snap.withdrawn.contains)
@@ -222,7 +222,7 @@
 	}
 	protocol := u.node.entrySettings.Protocol
 	protocol.LoadPath = s.service.HealthPath
-	limit := int(targetConnectionShare * float64(s.service.MaxConnections) / float64(sharingNodeCount(u.node.state.fleetNodes(time.Now()))))
+	limit := int(targetConnectionShare * float64(s.service.MaxConnections) / float64(u.quota.FleetSize()))
 	p := wire.NewPool(ref, wire.Settings{Protocol: protocol, IdleTimeout: targetIdleTimeout}, max(limit, minTargetConnections), 0, nil, u)
 	u.connPools[ref.ID] = p
 	return p
