--- a/logbook/line.go
+++ b/logbook/line.go
@@ -26,6 +26,8 @@
 	Zone      string `json:"zone"`
 	// State is the new state of the target in a line of the event target-listed.
 	State string `json:"state"`
+	// RateLimit is the limit in a line of the event target-limited, in requests a second.
+	RateLimit float64 `json:"limit"`
 	// PlanVersion is the version of the plan. ZoneOutOfService states that Zone is
 	// out of service.
 	PlanVersion      int64 `json:"version"`
--- a/logbook/logbook_test.go
+++ b/logbook/logbook_test.go
@@ -44,6 +44,34 @@
 	}
 }
 
+// The trace of a call must show the rate limit that was in force at its target, until the
+// target named none any more, and why a call was held back.
+func TestRequestTraceShowsRateLimit(t *testing.T) {
+	const lines = `{"ts":"2026-09-27T16:56:01.000Z","msg":"target-limited","event":408,"node":"n1","target":"i-1","limit":2.5,"source":"call"}
+{"ts":"2026-09-27T16:56:01.500Z","msg":"call-held-back","event":707,"node":"n1","id":"q","turn-ms":400,"refused":false}
+{"ts":"2026-09-27T16:56:02.000Z","msg":"call-placed","event":703,"node":"n1","id":"q","target":"i-1"}
+{"ts":"2026-09-27T16:56:03.000Z","msg":"target-unlimited","event":409,"node":"n1","target":"i-1"}
+{"ts":"2026-09-27T16:56:04.000Z","msg":"call-done","event":700,"node":"n1","id":"q","target":"i-1"}
+`
+	s := RequestTrace{ID: "q"}
+	if _, err := Read(strings.NewReader(lines), s.Add); err != nil {
+		t.Fatal(err)
+	}
+	steps := s.Steps()
+	if len(steps) != 3 || steps[1].TargetLimit != "2.5 a second, 1s before" || steps[2].TargetLimit != "" {
+		t.Errorf("limits: got %+v, want one at the second of three steps", steps)
+	}
+	var b bytes.Buffer
+	if err := s.WriteText(&b); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"call-held-back  refused=false turn-ms=400", "limit: 2.5 a second, 1s before"} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("trace: got %q, want a part %q", b.String(), want)
+		}
+	}
+}
+
 func TestNodeStatesAtGivenTime(t *testing.T) {
 	u := NodeStatesAt{EndTime: time.Date(2026, 9, 27, 16, 56, 2, 250e6, time.UTC)}
 	if _, err := Read(strings.NewReader(logLines), u.Apply); err != nil {
--- a/logbook/state.go
+++ b/logbook/state.go
@@ -18,6 +18,8 @@
 	// LastTargetLines maps the ID of each target to the last line about it that
 	// does not belong to a request.
 	LastTargetLines map[string]Line `json:"-"`
+	// LimitLines maps the ID of each target with a rate limit to the line that told it.
+	LimitLines map[string]Line `json:"-"`
 	// LastStoreLine is the last line about the availability of the store.
 	LastStoreLine Line `json:"-"`
 	// Ready states whether the node reported itself ready.
@@ -38,7 +40,7 @@
 	}
 	n := s.nodes[l.Node]
 	if n == nil || l.EventNumber == event.NodeStarting.Number {
-		n = &NodeState{LastTargetLines: map[string]Line{}}
+		n = &NodeState{LastTargetLines: map[string]Line{}, LimitLines: map[string]Line{}}
 		s.nodes[l.Node] = n
 	}
 	n.apply(l)
@@ -54,6 +56,10 @@
 			n.ZonesOutOfService = append(n.ZonesOutOfService, l.Zone)
 			slices.Sort(n.ZonesOutOfService)
 		}
+	case event.TargetLimited.Number:
+		n.LimitLines[l.Target] = l
+	case event.TargetUnlimited.Number, event.TargetInstance.Number:
+		delete(n.LimitLines, l.Target)
 	case event.StoreAway.Number, event.StoreBack.Number:
 		n.LastStoreLine = l
 	case event.NodeReady.Number:
@@ -76,6 +82,7 @@
 	state = *n
 	state.ZonesOutOfService = slices.Clone(n.ZonesOutOfService)
 	state.LastTargetLines = maps.Clone(n.LastTargetLines)
+	state.LimitLines = maps.Clone(n.LimitLines)
 	return state, true
 }
 
--- a/logbook/trace.go
+++ b/logbook/trace.go
@@ -17,6 +17,9 @@
 	// LastTargetEvent is the name, the state and the age of the last event of the
 	// target, as printed text.
 	LastTargetEvent string `json:"believed-of-target,omitempty"`
+	// TargetLimit is the rate limit of the target and the age of the line that told it,
+	// as printed text; empty without one.
+	TargetLimit string `json:"believed-limit,omitempty"`
 	// LastStoreEvent is the name of the last event of the store.
 	LastStoreEvent string `json:"believed-of-store,omitempty"`
 	JSON           string `json:"text"`
@@ -45,6 +48,9 @@
 	if state, ok := t.states.State(l.Node); ok {
 		step.PlanVersion = state.PlanVersion
 		step.LastStoreEvent = state.LastStoreLine.EventName
+		if limit, ok := state.LimitLines[l.Target]; ok {
+			step.TargetLimit = fmt.Sprintf("%g a second, %s before", limit.RateLimit, l.Time.Sub(limit.Time).Round(timeResolution))
+		}
 		if last, ok := state.LastTargetLines[l.Target]; ok {
 			step.LastTargetEvent = fmt.Sprintf("%s %s, %s before", last.EventName, last.State, l.Time.Sub(last.Time).Round(timeResolution))
 		}
@@ -88,6 +94,9 @@
 	if s.LastTargetEvent != "" {
 		parts = append(parts, "target: "+s.LastTargetEvent)
 	}
+	if s.TargetLimit != "" {
+		parts = append(parts, "limit: "+s.TargetLimit)
+	}
 	if s.LastStoreEvent != "" {
 		parts = append(parts, "store: "+s.LastStoreEvent)
 	}
