Tell a limit that changes all the time only a few times a second

Found by reading the change: a target may name another limit on each response, and each change went to the log and to all links of the zone.

--- a/target/ratelimit.go
+++ b/target/ratelimit.go
@@ -72,6 +72,10 @@
 	// hasLoggedUnreadable reports whether an unreadable limit was reported since the
 	// last readable one.
 	hasLoggedUnreadable bool
+	// notified is the limit that was last passed to Settings.OnLimitChange, and notifiedAt
+	// the time of the response that named it; zero if none was.
+	notified   RateLimit
+	notifiedAt time.Time
 }
 
 // inForce reports whether a limit is in force.
@@ -99,13 +103,18 @@
 	t.setLimit(e, limitState{limit: r.Limit, toldAt: r.ReceivedAt, onLoadQueries: onLoadQueries}, source)
 }
 
+// minLimitNoticeInterval is the shortest time between two calls of Settings.OnLimitChange
+// for one target: a target may name another limit on each response.
+const minLimitNoticeInterval = 250 * time.Millisecond
+
 // setLimit replaces what is known of a target's rate limit. t.mu must be held.
 func (t *Table) setLimit(e *entry, l limitState, source LimitSource) {
-	previous := e.limit.limit
-	e.limit = l
-	if l.limit != previous {
-		t.notifyLimitChange(LimitChange{Ref: e.ref, Limit: l.limit, Previous: previous, Source: source, Incarnation: e.incarnation, OnLoadQueries: l.onLoadQueries, ToldAt: l.toldAt})
+	l.notified, l.notifiedAt = e.limit.notified, e.limit.notifiedAt
+	if l.limit != l.notified && l.toldAt.Sub(l.notifiedAt) >= minLimitNoticeInterval {
+		t.notifyLimitChange(LimitChange{Ref: e.ref, Limit: l.limit, Previous: l.notified, Source: source, Incarnation: e.incarnation, OnLoadQueries: l.onLoadQueries, ToldAt: l.toldAt})
+		l.notified, l.notifiedAt = l.limit, l.toldAt
 	}
+	e.limit = l
 }
 
 // maxPeerDelay bounds how long a peer's word may have been on its way: a link without
@@ -141,7 +150,7 @@
 // expireLimit ends a limit that was named too long ago. t.mu must be held.
 func (t *Table) expireLimit(e *entry, now time.Time) {
 	if e.limit.inForce() && now.Sub(e.limit.toldAt) > limitExpiry {
-		t.setLimit(e, limitState{toldAt: e.limit.toldAt}, LimitExpired)
+		t.setLimit(e, limitState{toldAt: now}, LimitExpired)
 	}
 }
 
