Report a call whose response breaks off as lost, not as done

On call one saw call-done with status 200 for a call whose caller got half of a response or a 502: the end of a call was logged when its headers came. It is logged once the response was forwarded now, with answer-lost, answer-unframed or, if the caller left, caller-gone-after-send (TestTruncatedResponseIsReportedAsLost failed before for a truncated response and for one without an end).

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -86,8 +86,8 @@
 	// OnMisdirected, if set, is called for each target whose address is now used by
 	// another process.
 	OnMisdirected func(ref target.Ref)
-	// OnCallEnd, if set, is called once for each call, when the response headers
-	// were received or the call failed.
+	// OnCallEnd, if set, is called once for each call, when its response was
+	// forwarded, to the end or not, or the call failed.
 	OnCallEnd func(e CallResult)
 
 	isDraining  atomic.Bool
@@ -141,8 +141,15 @@
 		h.writeFailure(w, callFailure)
 		return
 	}
-	h.reportCallEnd(r, in, CallResult{Outcome: outcome.Done, Target: callResponse.Target(), Status: callResponse.Response.(*TargetResponse).resp.StatusCode, ExtraAttempts: callResponse.ExtraAttempts, TimeToAttempt: callResponse.TimeToAttempt, TotalDuration: time.Since(arrivedAt)})
-	h.writeResponse(w, r, callResponse, arrivedAt)
+	result := CallResult{Outcome: outcome.Done, Target: callResponse.Target(), Status: callResponse.Response.(*TargetResponse).resp.StatusCode, ExtraAttempts: callResponse.ExtraAttempts, TimeToAttempt: callResponse.TimeToAttempt, TotalDuration: time.Since(arrivedAt)}
+	failure, aborted := h.writeResponse(w, r, callResponse, arrivedAt)
+	if failure.Reason != "" {
+		result.Outcome, result.Reason = failure.Outcome, failure.Reason
+	}
+	h.reportCallEnd(r, in, result)
+	if aborted {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // CallResult describes a finished call, for the log.
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -277,6 +277,34 @@
 	}
 }
 
+// A response that breaks off after its headers must not be reported as done: the log would
+// send the engineer on call elsewhere.
+func TestTruncatedResponseIsReportedAsLost(t *testing.T) {
+	for _, tt := range []struct {
+		name, response string
+		want           outcome.Failure
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", outcome.Failure{Outcome: outcome.Done}},
+		{"truncated", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort", outcome.Failure{Outcome: outcome.Unknown, Reason: outcome.AnswerLost}},
+		{"end not known", "HTTP/1.1 200 OK\r\n\r\nshort", outcome.Failure{Outcome: outcome.Unknown, Reason: outcome.AnswerUnframed}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			raw := newRawTarget(t, func(w io.Writer, _ *http.Request, _ int) bool {
+				io.WriteString(w, tt.response)
+				return false
+			})
+			h := newHarness(t, nonIdempotent(), raw.address())
+			ended := make(chan CallResult, 1)
+			h.handler.OnCallEnd = func(e CallResult) { ended <- e }
+			// The caller's error is checked by TestTruncatedResponseAbortsCallerConnection.
+			_, _, _ = h.do(t, http.MethodPost, "x")
+			if e := <-ended; e.Outcome != tt.want.Outcome || e.Reason != tt.want.Reason {
+				t.Errorf("call end: got %v %v, want %v %v", e.Outcome, e.Reason, tt.want.Outcome, tt.want.Reason)
+			}
+		})
+	}
+}
+
 // TestOutcomeOfTargetResponse checks the outcome and status that callers receive for
 // responses of targets.
 func TestOutcomeOfTargetResponse(t *testing.T) {
--- a/entry/response.go
+++ b/entry/response.go
@@ -104,15 +104,16 @@
 	return resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 }
 
-// writeResponse forwards a target's response to the caller. If the response is
-// truncated, the caller's connection is aborted.
-func (h *Handler) writeResponse(w http.ResponseWriter, inbound *http.Request, callResponse *dispatch.CallResponse, arrivedAt time.Time) {
+// writeResponse forwards a target's response to the caller. It returns a failure if the
+// caller did not get the whole response; aborted reports that the caller's connection
+// must be aborted, because the response is truncated.
+func (h *Handler) writeResponse(w http.ResponseWriter, inbound *http.Request, callResponse *dispatch.CallResponse, arrivedAt time.Time) (failure outcome.Failure, aborted bool) {
 	r := callResponse.Response.(*TargetResponse)
 	if !r.isFramed(inbound.Method) {
 		r.release(false)
 		callResponse.Finish(target.Broken)
 		h.writeFailure(w, &dispatch.CallFailure{Outcome: outcome.Unknown, Reason: outcome.AnswerUnframed, ExtraAttempts: callResponse.ExtraAttempts})
-		return
+		return outcome.Failure{Outcome: outcome.Unknown, Reason: outcome.AnswerUnframed}, false
 	}
 	h.writeHeader(w, r, callResponse)
 	err := copyBody(w, r.resp)
@@ -121,16 +122,17 @@
 	}
 	r.release(err == nil)
 	if err != nil {
-		result := target.Broken
+		result, reason := target.Broken, outcome.AnswerLost
 		if inbound.Context().Err() != nil || err.isCallerSide {
-			result = target.Cancelled
+			result, reason = target.Cancelled, outcome.CallerGoneAfterSend
 		}
 		callResponse.Finish(result)
-		h.Metrics.CountUnknown(outcome.AnswerLost)
-		panic(http.ErrAbortHandler)
+		h.Metrics.CountUnknown(reason)
+		return outcome.Failure{Outcome: outcome.Unknown, Reason: reason}, true
 	}
 	callResponse.Finish(target.Answered)
 	h.Metrics.CountDone(time.Since(arrivedAt), callResponse.TimeToAttempt)
+	return outcome.Failure{}, false
 }
 
 // writeHeader writes the status and headers of a target's response to the caller.
--- a/event/event.go
+++ b/event/event.go
@@ -92,7 +92,7 @@
 	CallWaits    = register(705, "call-waits", zap.InfoLevel, "No target is forecast to respond in time; the call waits in the node for capacity.")
 	CallFailed   = register(706, "call-failed", zap.InfoLevel, "An attempt ended without a response; the field written states whether any byte of it may have reached the target.")
 	CallHeldBack = register(707, "call-held-back", zap.InfoLevel, "The rate limits that all usable targets name leave no capacity now; the call waits for this node's next turn, or is refused (field refused). The line holds the number of these targets, the sum of their limits and the age of the oldest.")
-	CallDone     = register(700, "call-done", zap.InfoLevel, "A target responded to a call.")
+	CallDone     = register(700, "call-done", zap.InfoLevel, "A target responded to a call, and its whole response was forwarded.")
 	CallNotRun   = register(701, "call-not-run", zap.InfoLevel, "A call was refused and did not run; the field reason states why.")
 	CallUnknown  = register(702, "call-unknown", zap.WarnLevel, "A call may have run, but has no response; the field reason states why.")
 	LinesCut     = register(710, "lines-cut", zap.WarnLevel, "Log lines were dropped since the last event of this kind, because their rate was too high or the reader of the log was too slow.")
