--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -217,11 +217,12 @@
 	for i := range maxAttemptsPerRound {
 		opts := target.PickOptions{Exclude: excluded, RequireFreeSlot: true, Objective: h.run.call.Profile.LatencyObjective}
 		h.queryLoad(ctx, opts)
-		reservation, status := h.run.service.Table.PickWithOptions(time.Now(), opts)
+		next, status := h.run.service.Table.PickWithOptions(time.Now(), opts)
 		if status != target.PickOK {
 			h.run.dispatcher.countExtraAttempt(outcome.ForgoneTargetsBusy)
-			return target.Reservation{}, nil, failure
+			return reservation, nil, failure
 		}
+		reservation = next
 		if i == 0 && !h.spendToken(reservation) {
 			return target.Reservation{}, nil, nil
 		}
