--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -189,6 +189,21 @@
 	})
 }
 
+// A retry that no token pays for is not made, so it must not be counted as made.
+func TestForgoneRetryAfterRefusalIsNotCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 6, failFirst(refusedByTarget, 1<<30))
+		f.svc.ExtraAttemptBudget = &retry.Budget{Settings: retry.Settings{TokensPerCall: 0.2, Burst: 2}}
+		for range 10 {
+			f.do(t.Context(), newCall(nonIdempotent()))
+		}
+		made := len(f.sender.attempts) - 10
+		if got := f.counts.byReason[outcome.RetryTargetRefused]; got != made {
+			t.Errorf("retries counted: got %d, want the %d that were made", got, made)
+		}
+	})
+}
+
 // A hedge is an extra attempt at another target, so it must count against the
 // allowance of the call.
 func TestHedgeCountsAgainstAllowance(t *testing.T) {
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -101,9 +101,9 @@
 		r.dispatcher.countExtraAttempt(outcome.ForgoneBodyConsumed)
 		return outcome.TargetsRefused
 	}
-	r.dispatcher.countExtraAttempt(outcome.RetryTargetRefused)
 	r.roundRefusalCount++
 	if r.roundRefusalCount < maxAttemptsPerRound && r.dispatcher.spendRefusalRetryToken(r.service) {
+		r.dispatcher.countExtraAttempt(outcome.RetryTargetRefused)
 		return ""
 	}
 	if r.service.ExtraAttemptBudget != nil {
@@ -113,7 +113,11 @@
 	// One refusal means that one target is full. A whole round of refusals means
 	// that more calls are open than the targets have capacity for.
 	r.service.Gate.DecreaseLimit(time.Now())
-	return r.waitBackoff(ctx, outcome.TargetsRefused)
+	reason := r.waitBackoff(ctx, outcome.TargetsRefused)
+	if reason == "" {
+		r.dispatcher.countExtraAttempt(outcome.RetryTargetRefused)
+	}
+	return reason
 }
 
 // handleConnectFailure handles an attempt of which nothing was written. It returns
