--- a/logbook/logbook_test.go
+++ b/logbook/logbook_test.go
@@ -94,6 +94,21 @@
 	}
 }
 
+// Of a request with very many lines the earliest are kept, in whatever order the nodes' logs
+// are read.
+func TestTraceKeepsEarliestLines(t *testing.T) {
+	s := RequestTrace{ID: "q"}
+	start := time.Date(2026, 9, 27, 16, 56, 0, 0, time.UTC)
+	const lines = 5 * maxSteps
+	for i := range lines {
+		s.Add(Line{Time: start.Add(time.Duration(lines-i) * time.Millisecond), RequestID: "q", Node: "n", EventName: "call-placed"})
+	}
+	steps := s.Steps()
+	if got, want := steps[0].Line.Time, start.Add(time.Millisecond); len(steps) != maxSteps || !got.Equal(want) {
+		t.Errorf("steps: got %d from %v, want %d from %v", len(steps), got, maxSteps, want)
+	}
+}
+
 // Lines longer than maxLineBytes are counted and skipped, and reading many lines
 // keeps only those of the request in memory.
 func TestReadSkipsTooLongLineAndTraceKeepsOneRequest(t *testing.T) {
--- a/logbook/trace.go
+++ b/logbook/trace.go
@@ -33,7 +33,7 @@
 	steps  []Step
 }
 
-// maxSteps is the maximum number of lines that are kept of one request. Further
+// maxSteps is the maximum number of lines that are kept of one request. Later
 // lines are dropped.
 const maxSteps = 1000
 
@@ -41,7 +41,7 @@
 // request.
 func (t *RequestTrace) Add(l Line) {
 	t.states.Apply(l)
-	if l.RequestID != t.ID || len(t.steps) >= maxSteps {
+	if l.RequestID != t.ID {
 		return
 	}
 	step := Step{Line: l, JSON: l.JSON}
@@ -56,11 +56,15 @@
 		}
 	}
 	t.steps = append(t.steps, step)
+	if len(t.steps) >= 2*maxSteps {
+		t.Steps()
+	}
 }
 
 // Steps returns the lines of the request, sorted by time.
 func (t *RequestTrace) Steps() []Step {
 	slices.SortStableFunc(t.steps, func(a, b Step) int { return a.Line.Time.Compare(b.Line.Time) })
+	t.steps = t.steps[:min(len(t.steps), maxSteps)]
 	return t.steps
 }
 
