--- a/measuring/budget.go
+++ b/measuring/budget.go
@@ -129,7 +129,9 @@
 	if !b.refilledAt.IsZero() {
 		elapsed = min(now.Sub(b.refilledAt), burstWindow)
 	}
-	b.refilledAt = now
+	if now.After(b.refilledAt) {
+		b.refilledAt = now
+	}
 	seconds := max(0, elapsed.Seconds())
 	b.remaining.messages = addCapped(b.remaining.messages, cfg.MessagesPerSecond, seconds)
 	b.remaining.bytes = addCapped(b.remaining.bytes, float64(cfg.BytesPerSecond), seconds)
--- a/measuring/budget_test.go
+++ b/measuring/budget_test.go
@@ -8,6 +8,25 @@
 	"github.com/apricotmount/apricotmount/unit"
 )
 
+// Measurements of several goroutines read the clock before they take the lock, so their times
+// may come out of order. No interval may be refilled twice.
+func TestRefillIgnoresEarlierTimes(t *testing.T) {
+	b := &Budget{Settings: Settings{MessagesPerSecond: 1}}
+	now := time.Now()
+	for range 3 {
+		b.Spend(now, Cost{Messages: 1})
+	}
+	spent := 0
+	for i := range 20 {
+		if b.Spend(now.Add(time.Duration(i%2)*time.Second), Cost{Messages: 1}) {
+			spent++
+		}
+	}
+	if spent != 1 {
+		t.Errorf("measurements in one second at one a second: got %d, want 1", spent)
+	}
+}
+
 // Costs are spent at random times. At each time, the sum spent since the start
 // must be within the rate of the budget plus one burst.
 func TestSpendStaysWithinBudget(t *testing.T) {
