--- a/admission/gate.go
+++ b/admission/gate.go
@@ -284,6 +284,10 @@
 	if w == nil {
 		return false
 	}
-	w.decision <- outcome.DisplacedByUrgent
+	reason := outcome.NodeFull
+	if w.urgency > u {
+		reason = outcome.DisplacedByUrgent
+	}
+	w.decision <- reason
 	return true
 }
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -211,6 +211,13 @@
 			t.Errorf("refusal of the patient call: got %q, want none", refusal)
 		}
 		time.Sleep(time.Minute)
+		refusals := map[outcome.Reason]int{}
+		for range 40 {
+			refusals[<-ignored]++
+		}
+		if refusals[outcome.NodeFull] != 1 || refusals[""] != 39 {
+			t.Errorf("refusals of urgent calls: got %v, want one because the node is full", refusals)
+		}
 	})
 }
 
