Answer the calls that are just accepted when a node stops

Looked for after what operators of similar systems saw: during a planned stop under load requests that had just been accepted were cut off without an answer. It could happen here.

And http.Server.Shutdown drops a request that it reads while it waits for others: the server drains by itself now, without keep-alive, until no connection is left. Both kinds of node and all their ports use it; the tracking of idle connections moves there.

--- a/gateway/node.go
+++ b/gateway/node.go
@@ -6,7 +6,6 @@
 	"io"
 	"log"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -19,6 +18,7 @@
 	"github.com/apricotmount/apricotmount/entry"
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/invariant"
+	"github.com/apricotmount/apricotmount/listener"
 	"github.com/apricotmount/apricotmount/member"
 	"github.com/apricotmount/apricotmount/metrics"
 	"github.com/apricotmount/apricotmount/pause"
@@ -64,9 +64,8 @@
 	handler    *entry.Handler
 	hub        *peer.Hub
 
-	servers      []*http.Server
-	callerServer *http.Server
-	idleConns    idleConns
+	servers      []*listener.Server
+	callerServer *listener.Server
 	ctx          context.Context
 	cancel       context.CancelFunc
 	goroutines   sync.WaitGroup
@@ -153,12 +152,12 @@
 	peerMux.Handle(peer.Path, n.hub)
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", n.registry.Handler())
-	n.callerServer = &http.Server{Handler: http.HandlerFunc(n.serveCaller), ErrorLog: discardLogger, ConnState: n.idleConns.trackState, IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: callerHeaderTimeout}
+	callers := &http.Server{Handler: http.HandlerFunc(n.serveCaller), ErrorLog: discardLogger, IdleTimeout: callerIdleTimeout, ReadHeaderTimeout: callerHeaderTimeout}
 	for _, s := range []struct {
 		address string
 		server  *http.Server
 	}{
-		{n.settings.CallerAddress, n.callerServer},
+		{n.settings.CallerAddress, callers},
 		{n.settings.ReadinessAddress, &http.Server{Handler: http.HandlerFunc(n.serveReadiness), ErrorLog: discardLogger}},
 		{string(n.settings.PeerAddress), &http.Server{Handler: peerMux, ErrorLog: discardLogger}},
 		{n.settings.MetricsAddress, &http.Server{Handler: metricsMux, ErrorLog: discardLogger}},
@@ -168,6 +167,7 @@
 			return err
 		}
 	}
+	n.callerServer = n.servers[0]
 	event.NodeStarting.Log(n.logger, zap.String("zone", string(n.settings.Zone)))
 	n.startLoops()
 	return nil
@@ -193,14 +193,14 @@
 )
 
 // listen opens a port and serves it in the background.
-func (n *Node) listen(address string, s *http.Server) error {
-	l, err := net.Listen("tcp", address)
+func (n *Node) listen(address string, settings *http.Server) error {
+	s, err := listener.Serve(address, settings)
 	if err != nil {
 		return err
 	}
 	n.servers = append(n.servers, s)
 	n.goroutines.Go(func() {
-		if err := s.Serve(l); !eris.Is(err, http.ErrServerClosed) {
+		if err := s.Wait(); err != nil {
 			event.PortFailed.Log(n.logger, zap.String("address", address), zap.Error(err))
 		}
 	})
@@ -236,7 +236,7 @@
 // plan allows.
 func (n *Node) closeIdleCallerConns(now time.Time) {
 	if plan := n.upstreams.active.Load().plan; plan != nil {
-		n.idleConns.closeExpired(now, plan.Limits.IdleTimeout)
+		n.callerServer.CloseIdle(now, plan.Limits.IdleTimeout)
 	}
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -40,7 +40,7 @@
 	pause.For(ctx, acceptDuration(n.reloadable.Load().GracePeriod))
 	ctx, cancel := context.WithDeadline(ctx, start.Add(n.reloadable.Load().GracePeriod-stopMargin))
 	defer cancel()
-	if err := n.callerServer.Shutdown(ctx); err != nil {
+	if err := n.callerServer.Drain(ctx); err != nil {
 		event.NodeForcedStop.Log(n.logger, zap.Int64("cut", n.handler.OpenCallCount()))
 	}
 	event.NodeStopped.Log(n.logger, zap.Int64("cut", n.handler.OpenCallCount()))
--- /dev/null
+++ b/listener/conns.go
@@ -0,0 +1,74 @@
+package listener
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// idleCloseMargin is added to the idle timeout before a connection is closed: a request
+// may be in transit when the timeout expires.
+const idleCloseMargin = time.Second
+
+// connState is the state of one connection and the time from which it has it.
+type connState struct {
+	state http.ConnState
+	since time.Time
+}
+
+// conns tracks the open connections of a server. Its zero value is ready to use.
+type conns struct {
+	mu     sync.Mutex
+	states map[net.Conn]connState
+}
+
+// trackState records a connection's state; it is the ConnState hook of a server.
+func (c *conns) trackState(conn net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.states == nil {
+		c.states = map[net.Conn]connState{}
+	}
+	if s == http.StateClosed || s == http.StateHijacked {
+		delete(c.states, conn)
+		return
+	}
+	c.states[conn] = connState{s, time.Now()}
+}
+
+// closeIdle closes the connections without a request for longer than timeout plus
+// idleCloseMargin, and returns their number. A timeout of zero closes none.
+func (c *conns) closeIdle(now time.Time, timeout time.Duration) (closed int) {
+	if timeout <= 0 {
+		return 0
+	}
+	return c.closeWhere(func(s connState) bool {
+		return s.state != http.StateActive && now.Sub(s.since) > timeout+idleCloseMargin
+	})
+}
+
+// closeUnused closes the connections on which no request has begun for the given time.
+func (c *conns) closeUnused(now time.Time, age time.Duration) {
+	c.closeWhere(func(s connState) bool { return s.state == http.StateNew && now.Sub(s.since) > age })
+}
+
+func (c *conns) closeWhere(matches func(s connState) bool) (closed int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, s := range c.states {
+		if matches(s) {
+			conn.Close()
+			delete(c.states, conn)
+			closed++
+		}
+	}
+	return closed
+}
+
+// count returns the number of open connections.
+func (c *conns) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.states)
+}
--- a/gateway/idleconns_test.go
+++ b/listener/conns_test.go
@@ -1,4 +1,4 @@
-package gateway
+package listener
 
 import (
 	"net"
@@ -36,12 +36,12 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var conns idleConns
+			var tracked conns
 			conn := &closeRecorder{}
 			for _, s := range tt.states {
-				conns.trackState(conn, s)
+				tracked.trackState(conn, s)
 			}
-			n := conns.closeExpired(time.Now().Add(tt.after), tt.timeout)
+			n := tracked.closeIdle(time.Now().Add(tt.after), tt.timeout)
 			if conn.isClosed != tt.want || (n == 1) != tt.want {
 				t.Errorf("closed: got %v, counted %d, want %v", conn.isClosed, n, tt.want)
 			}
--- /dev/null
+++ b/listener/server.go
@@ -0,0 +1,91 @@
+package listener
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/apricotmount/apricotmount/pause"
+)
+
+// Server is an HTTP server that answers every request that it has read before it stops.
+// http.Server.Shutdown does not: it drops a request that is read while it waits.
+type Server struct {
+	http *http.Server
+
+	conns    conns
+	listener *Listener
+	// served is closed when the server accepts no more connections, and serveErr is then
+	// the reason; nil after Drain or Close.
+	served   chan struct{}
+	serveErr error
+}
+
+// Serve opens a port and serves it in the background. The settings' ConnState must not be
+// set.
+func Serve(address string, settings *http.Server) (s *Server, err error) {
+	defer func() { err = eris.Wrapf(err, "listen on %s", address) }()
+	l, err := Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	s = &Server{http: settings, listener: l, served: make(chan struct{})}
+	s.http.ConnState = s.conns.trackState
+	go func() {
+		defer close(s.served)
+		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			s.serveErr = err
+		}
+	}()
+	return s, nil
+}
+
+// Addr returns the address of the port.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// Wait waits until the server accepts no more connections, and returns the error that
+// ended it, if any.
+func (s *Server) Wait() error {
+	<-s.served
+	return s.serveErr
+}
+
+// CloseIdle closes the connections without a request for longer than timeout and a margin.
+func (s *Server) CloseIdle(now time.Time, timeout time.Duration) { s.conns.closeIdle(now, timeout) }
+
+const (
+	// drainPollInterval is the time between two checks of Drain.
+	drainPollInterval = 5 * time.Millisecond
+	// unusedConnAge is how long Drain leaves a connection open on which no request
+	// begins.
+	unusedConnAge = time.Second
+)
+
+// Drain closes the port and the idle connections and waits until all requests are
+// answered, each of them as the last of its connection. It returns the error of ctx if
+// that is done before; the remaining requests go on then.
+func (s *Server) Drain(ctx context.Context) error {
+	s.http.SetKeepAlivesEnabled(false)
+	// The error is that of a port that is closed already.
+	_ = s.listener.Close()
+	<-s.served
+	for s.conns.count() > 0 {
+		if !pause.For(ctx, drainPollInterval) {
+			return ctx.Err()
+		}
+		s.conns.closeUnused(time.Now(), unusedConnAge)
+	}
+	return nil
+}
+
+// Close closes the port and all connections.
+func (s *Server) Close() error {
+	// The port is closed before, so that no waiting connection is accepted any more. The
+	// error is that of a port that is closed already.
+	_ = s.listener.TCPListener.Close()
+	return s.http.Close()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	"github.com/apricotmount/apricotmount/entry"
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/invariant"
+	"github.com/apricotmount/apricotmount/listener"
 	"github.com/apricotmount/apricotmount/measuring"
 	"github.com/apricotmount/apricotmount/member"
 	"github.com/apricotmount/apricotmount/metrics"
@@ -56,7 +56,7 @@
 
 	configFollower, claimFollower, leaseFollower *stream.Follower
 
-	callerServer, operatorServer, peerServer, healthServer *server
+	callerServer, operatorServer, peerServer, healthServer *listener.Server
 
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -165,22 +165,22 @@
 func (n *Node) listen() (err error) {
 	s := n.settings
 	callers := &http.Server{Handler: n.callerHandler, ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout, ErrorLog: discardLog}
-	if n.callerServer, err = listenAndServe(s.CallerAddress, callers); err != nil {
+	if n.callerServer, err = listener.Serve(s.CallerAddress, callers); err != nil {
 		return err
 	}
 	operatorAPI, err := operator.NewHandler(operatorNode{n}, s.OperatorToken)
 	if err != nil {
 		return err
 	}
-	if n.operatorServer, err = listenAndServe(s.OperatorAddress, newInternalServer(operatorAPI)); err != nil {
+	if n.operatorServer, err = listener.Serve(s.OperatorAddress, newInternalServer(operatorAPI)); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, n.hub)
-	if n.peerServer, err = listenAndServe(s.PeerAddress, newInternalServer(mux)); err != nil {
+	if n.peerServer, err = listener.Serve(s.PeerAddress, newInternalServer(mux)); err != nil {
 		return err
 	}
-	n.healthServer, err = listenAndServe(s.HealthAddress, newInternalServer(n.healthHandler()))
+	n.healthServer, err = listener.Serve(s.HealthAddress, newInternalServer(n.healthHandler()))
 	return err
 }
 
@@ -188,8 +188,8 @@
 // empty one.
 func (n *Node) Addresses() Addresses {
 	return Addresses{
-		Callers: n.callerServer.address(), Operators: n.operatorServer.address(),
-		Peers: n.peerServer.address(), Health: n.healthServer.address(),
+		Callers: addressOf(n.callerServer), Operators: addressOf(n.operatorServer),
+		Peers: addressOf(n.peerServer), Health: addressOf(n.healthServer),
 	}
 }
 
@@ -198,21 +198,6 @@
 	return n.invariantChecks
 }
 
-// server is an HTTP server on one listening port.
-type server struct {
-	http     *http.Server
-	listener net.Listener
-}
-
-func listenAndServe(address string, s *http.Server) (*server, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", address)
-	}
-	go s.Serve(l)
-	return &server{http: s, listener: l}, nil
-}
-
 // internalHeaderTimeout bounds reading the request headers on the operator, peer
 // and health ports.
 const internalHeaderTimeout = 5 * time.Second
@@ -221,11 +206,12 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: internalHeaderTimeout, ErrorLog: discardLog}
 }
 
-func (s *server) address() string {
+// addressOf returns the address of a server's port, or "" if there is none.
+func addressOf(s *listener.Server) string {
 	if s == nil {
 		return ""
 	}
-	return s.listener.Addr().String()
+	return s.Addr().String()
 }
 
 // newAdmissionPool returns the pool that limits how many calls the node holds at
--- a/node/stop.go
+++ b/node/stop.go
@@ -41,14 +41,12 @@
 	ctx, cancel := context.WithTimeout(ctx, n.settings.StopTimeout)
 	defer cancel()
 	pause.For(ctx, n.settings.StopGrace)
-	// Shutdown closes the listener and idle connections and waits for the calls in
-	// progress.
-	err := n.callerServer.http.Shutdown(ctx)
+	err := n.callerServer.Drain(ctx)
 	cutCalls = n.callerHandler.OpenCallCount()
 	if err != nil || cutCalls > 0 {
 		event.NodeForcedStop.Log(n.logger, zap.Int64("cut", cutCalls))
 	}
-	n.callerServer.http.Close()
+	n.callerServer.Close()
 	n.announceLeave(cutCalls == 0)
 	n.shutdown()
 	event.NodeStopped.Log(n.logger, zap.Int64("cut", cutCalls))
@@ -73,16 +71,16 @@
 // failing VM.
 func (n *Node) Kill() {
 	n.isLeaving.Store(true)
-	n.callerServer.http.Close()
+	n.callerServer.Close()
 	n.shutdown()
 }
 
 func (n *Node) shutdown() {
 	n.cancel()
 	n.hub.Close()
-	n.operatorServer.http.Close()
-	n.peerServer.http.Close()
-	n.healthServer.http.Close()
+	n.operatorServer.Close()
+	n.peerServer.Close()
+	n.healthServer.Close()
 	n.loops.Wait()
 	n.services.close()
 }
