--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -16,7 +16,6 @@
 		t.Fatal(err)
 	}
 	const waiting = 5
-	var conns []net.Conn
 	for range waiting {
 		c, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
@@ -26,7 +25,6 @@
 		if _, err := io.WriteString(c, "call"); err != nil {
 			t.Fatal(err)
 		}
-		conns = append(conns, c)
 	}
 	if err := l.Close(); err != nil {
 		t.Fatal(err)
