--- a/proof/prove/configuration_test.go
+++ b/proof/prove/configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -71,22 +72,25 @@
 }
 
 // publicationModel is the sequential specification of publications: one is
-// accepted if its base is the active revision, and rejected otherwise.
-var publicationModel = porcupine.Model{
-	Init: func() any { return config.Revision(0) },
-	Step: func(state, input, output any) (bool, any) {
+// accepted if its base is the active revision, and rejected otherwise. One whose result
+// is undetermined may have been either, or be lost.
+var publicationModel = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{config.Revision(0)} },
+	Step: func(state, input, output any) []any {
 		now, in, out := state.(config.Revision), input.(publicationInput), output.(publicationResult)
-		if !out.determined {
-			// The publication may have been accepted or not. If it was, the
-			// revisions that later publications return show it.
-			return true, now
+		isCurrent := in.baseRevision == now
+		switch {
+		case !out.determined && isCurrent:
+			return []any{now, now + 1}
+		case !out.determined || !out.accepted && !isCurrent:
+			return []any{now}
+		case out.accepted && isCurrent && out.revision == now+1:
+			return []any{now + 1}
+		default:
+			return nil
 		}
-		if out.accepted {
-			return in.baseRevision == now && out.revision == now+1, now + 1
-		}
-		return in.baseRevision != now, now
 	},
-}
+}).ToModel()
 
 func runConfiguration(r *run, m mutation) {
 	log := &standin.Log{Retention: 3 * time.Minute}
@@ -231,7 +235,6 @@
 	publicationCount  int
 	accepted          map[config.PublicationID]bool
 	history           []porcupine.Operation
-	hasUndetermined   bool
 	oldConfigurations []*config.Configuration
 }
 
@@ -258,15 +261,19 @@
 		go func() {
 			call := time.Now()
 			out := o.publish(node, publication)
+			returned := time.Now().UnixNano()
+			if !out.determined {
+				// It may still be accepted later.
+				returned = math.MaxInt64
+			}
 			results <- result{id: publication.ID, op: porcupine.Operation{
-				ClientId: i, Input: publicationInput{baseRevision: publication.BaseRevision}, Output: out, Call: call.UnixNano(), Return: time.Now().UnixNano(),
+				ClientId: i, Input: publicationInput{baseRevision: publication.BaseRevision}, Output: out, Call: call.UnixNano(), Return: returned,
 			}}
 		}()
 	}
 	for range n {
 		res := <-results
 		out := res.op.Output.(publicationResult)
-		o.hasUndetermined = o.hasUndetermined || !out.determined
 		o.history = append(o.history, res.op)
 		if out.determined && out.accepted {
 			if o.accepted == nil {
@@ -360,10 +367,6 @@
 			o.r.addViolation("publication %s was reported as accepted but is not active", id)
 		}
 	}
-	if o.hasUndetermined {
-		// The model has no result for a publication that may have been accepted.
-		return
-	}
 	o.r.checkedHistories++
 	if !porcupine.CheckOperations(publicationModel, o.history) {
 		o.r.addViolation("the results of the publications are not linearizable")
