--- a/cmd/apricotctl/soak.go
+++ b/cmd/apricotctl/soak.go
@@ -21,7 +21,7 @@
 	CallerCount   int           `arg:"--callers" default:"8" help:"number of concurrent callers"`
 	FaultDuration time.Duration `arg:"--faults" default:"15s" help:"duration of the phase in which faults are injected"`
 	ConfigTimeout time.Duration `arg:"--in-force" default:"2.5s" help:"maximum duration until a configuration is active at all nodes in the absence of faults"`
-	FaultNames    []string      `arg:"--only" help:"names of the faults to draw from, such as stop and pause [default: all]"`
+	FaultNames    []string      `arg:"--only,separate" help:"name of a fault to draw from, such as stop; repeat it for several [default: all]"`
 	Verbose       bool          `arg:"--verbose" help:"print the progress of each run"`
 }
 
