--- a/gateway/log.go
+++ b/gateway/log.go
@@ -20,11 +20,10 @@
 
 // decisionEvents maps the kind of a decision to its log event.
 var decisionEvents = map[dispatch.DecisionKind]event.Event{
-	dispatch.Placed:  event.CallPlaced,
-	dispatch.Hedged:  event.CallHedged,
-	dispatch.Waiting: event.CallWaits,
-	dispatch.Failed:  event.CallFailed,
-
+	dispatch.Placed:   event.CallPlaced,
+	dispatch.Hedged:   event.CallHedged,
+	dispatch.Waiting:  event.CallWaits,
+	dispatch.Failed:   event.CallFailed,
 	dispatch.HeldBack: event.CallHeldBack,
 }
 
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -167,6 +167,7 @@
 			return err
 		}
 	}
+	// The callers' port is opened first.
 	n.callerServer = n.servers[0]
 	event.NodeStarting.Log(n.logger, zap.String("zone", string(n.settings.Zone)))
 	n.startLoops()
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -46,8 +46,8 @@
 	self      vm.ID
 	nodes     []vm.ID
 	fleetSize int
-	// turns stores the state of each target, and ranks this node's place among its
-	// senders in the current fleet.
+	// turns stores, by target, the time of this node's last turn, taken or not, and ranks
+	// the number of nodes that come before it as senders in the current fleet.
 	turns map[vm.ID]time.Time
 	ranks map[vm.ID]float64
 }
