Test who leaves a turn to whom, and each older report by itself

Found by breaking the code on purpose: three breakages passed the tests. A waiting call that never yields, and one that yields for ever, passed TestUrgentCallsTakeTurnsFirst, since new calls that yield are enough for its figures; TestCallYieldsTurnToMoreUrgentOnes checks each case now. A limit that an older report may replace passed TestOldReportDoesNotUndoNewerLimit, since its last report put the target back under a limit and changes are told four times a second at most; it checks the value after each report now, and still that one change is told. Both fail with the code broken so. No product code differs.

--- a/dispatch/turn_test.go
+++ b/dispatch/turn_test.go
@@ -110,3 +110,43 @@
 		}
 	})
 }
+
+// A new call must leave the turns to those that wait and are at least as urgent. One that
+// waits must leave them to more urgent ones only, and for half of its objective only.
+func TestCallYieldsTurnToMoreUrgentOnes(t *testing.T) {
+	const objective = time.Second
+	tests := []struct {
+		name    string
+		urgency profile.Urgency
+		// isWaiting reports whether the call waits itself, for the given time.
+		isWaiting bool
+		waitedFor time.Duration
+		others    []profile.Urgency
+		want      bool
+	}{
+		{"new, nobody waits", profile.Patient, false, 0, nil, false},
+		{"new, as urgent ones wait", profile.Patient, false, 0, []profile.Urgency{profile.Patient}, true},
+		{"new, less urgent ones wait", profile.Urgent, false, 0, []profile.Urgency{profile.Patient}, false},
+		{"waiting, more urgent ones wait", profile.Patient, true, 0, []profile.Urgency{profile.Urgent}, true},
+		{"waiting, as urgent ones wait", profile.Urgent, true, 0, []profile.Urgency{profile.Urgent}, false},
+		{"waiting, less urgent ones wait", profile.Urgent, true, 0, []profile.Urgency{profile.Patient}, false},
+		{"waiting for long, more urgent ones wait", profile.Patient, true, objective * 6 / 10, []profile.Urgency{profile.Urgent}, false},
+	}
+	for _, tt := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			p := urgentProfile(tt.urgency, objective)
+			r := &run{service: &Service{}, call: newCall(p)}
+			for _, u := range tt.others {
+				r.service.turnQueue.add(u, 1)
+			}
+			if tt.isWaiting {
+				r.turnPlace = &turnPlace{urgency: tt.urgency, joinedAt: time.Now()}
+				r.service.turnQueue.add(tt.urgency, 1)
+			}
+			time.Sleep(tt.waitedFor)
+			if got := r.mustYieldTurn(); got != tt.want {
+				t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+			}
+		})
+	}
+}
--- a/target/ratelimit_test.go
+++ b/target/ratelimit_test.go
@@ -88,11 +88,14 @@
 	table, now := newQueryTable(1, 0, nil)
 	table.settings.OnLimitChange = func(c LimitChange) { changes = append(changes, c) }
 	table.RecordReport("near-0", now, limitedReport(4, now))
-	table.RecordReport("near-0", now, plainReport(now.Add(-time.Millisecond)))
-	table.RecordReport("near-0", now, limitedReport(9, now.Add(-time.Millisecond)))
-	table.RecordReport("near-0", now, Report{})
-	if got := table.Counts(now).Limited; got != 1 || len(changes) != 1 {
-		t.Errorf("after older reports and none: got %d limited and %d changes, want 1 and 1", got, len(changes))
+	for _, older := range []Report{limitedReport(9, now.Add(-time.Second)), plainReport(now.Add(-time.Second)), {}} {
+		table.RecordReport("near-0", now, older)
+		if got := table.NextTurn(now, 0); got.TargetCount != 1 || got.Rate != 4 {
+			t.Errorf("after an older report, limit %v: got %d targets with %v a second, want 1 with 4", older.Limit, got.TargetCount, got.Rate)
+		}
+	}
+	if len(changes) != 1 {
+		t.Errorf("changes after older reports: got %d, want 1", len(changes))
 	}
 	table.RecordReport("near-0", now, plainReport(now.Add(time.Second)))
 	if got := table.Counts(now).Limited; got != 0 || len(changes) != 2 {
