--- a/gateway/state_test.go
+++ b/gateway/state_test.go
@@ -426,3 +426,28 @@
 		}
 	}
 }
+
+// A mark of a peer says how far a reader has read. The records before it may not have
+// arrived, so the node must not skip them when it reads the store itself.
+func TestReadContinuesFromRecordsHeld(t *testing.T) {
+	s, now := newTestState(), time.Now()
+	s.applyListing(replica.Operator, Batch{Records: []replica.Record{newRecord(replica.Operator, "plan", "plan 1", 3)}, EndOffset: 4, Epoch: 1}, "store", now)
+	s.applyMark(replica.ReadMark{Topic: replica.Operator, EndOffset: 4, Epoch: 1, Reader: 1, Digest: s.copies[replica.Operator].Digest()}, now)
+	missed := replica.ReadMark{Topic: replica.Operator, EndOffset: 5, Epoch: 1, Reader: 1, Digest: 12345}
+	s.detectLastingMismatch(missed, now)
+	s.applyMark(missed, now)
+	if got, _ := s.readPosition(replica.Operator); got != 4 {
+		t.Errorf("read position after a mark without its records: got %d, want 4", got)
+	}
+}
+
+// The records that a mark covers are sent before it, so a copy of the operator's topic that
+// differs lacks one, and must request it at once.
+func TestMissedPlanIsRequestedAtFirstMark(t *testing.T) {
+	s, now := newTestState(), time.Now()
+	s.applyListing(replica.Operator, Batch{Records: []replica.Record{newRecord(replica.Operator, "plan", "plan 1", 3)}, EndOffset: 4, Epoch: 1}, "store", now)
+	s.applyMark(replica.ReadMark{Topic: replica.Operator, EndOffset: 4, Epoch: 1, Reader: 1, Digest: s.copies[replica.Operator].Digest()}, now)
+	if !s.detectLastingMismatch(replica.ReadMark{Topic: replica.Operator, EndOffset: 5, Epoch: 1, Reader: 1, Digest: 12345}, now) {
+		t.Error("first mark of a reader with another digest: got no request for records, want one")
+	}
+}
--- a/replica/epoch_test.go
+++ b/replica/epoch_test.go
@@ -122,3 +122,27 @@
 		}
 	}
 }
+
+// A copy that keeps a newer value after a restore must not give it the position of the old
+// one in the store: another copy holds the old value at that position, and would take the
+// newer one for a duplicate.
+func TestKeptValueReachesCopyThatReadRestoredStore(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		records []Record
+	}{
+		{"value", []Record{epochRecord("a", "5", 1, 9)}},
+		{"deletion", []Record{epochRecord("a", "3", 1, 4), epochRecord("a", "", 1, 9)}},
+	} {
+		kept, restored := Copy{Rules: sequenceRules}, Copy{Rules: sequenceRules}
+		kept.Merge(tt.records)
+		old := Listing{Records: []Record{epochRecord("a", "3", 2, 4)}, Epoch: 2, EndOffset: 5}
+		kept.MergeListing(old)
+		restored.MergeListing(old)
+		restored.Merge(kept.All())
+		kept.Merge(restored.All())
+		if got, want := restored.Digest(), kept.Digest(); got != want {
+			t.Errorf("%s: digest of the copy that read the restored store: got %x, want %x", tt.name, got, want)
+		}
+	}
+}
