Let a position name one value, also after the store was restored

Callers: after a restore a node that started anew served the store's older plan beside peers on the newer one, until the operator wrote again. Cause: a copy that kept a newer value gave it the position of the restored old one. Another copy held the old value at that very position and took the newer one for a duplicate. Deletions went the same way. Change: a kept value keeps its own position, beside the latest record of the key (replica/order.go, the one place that decides which record counts). A copy sends both. Versions of the plan order its records within an epoch as well. A deletion carries the value that it deleted to copies that never held it. A node whose first listing of the members failed lists again after 1 s instead of 4 s.

--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -32,8 +32,10 @@
 	// the members: nodes that start with it have joined by then.
 	initialListDelay = 500 * time.Millisecond
 	// isolationTimeout is how long a node without links waits before it lists the
-	// members itself, and the time between two such listings.
+	// members itself, and the time between two such listings. After a failed one it tries
+	// again after listRetryDelay.
 	isolationTimeout = 4 * time.Second
+	listRetryDelay   = time.Second
 )
 
 // keepMembership renews the membership until ctx ends or the node leaves. A node that has
@@ -114,6 +116,7 @@
 		}
 		isDue := n.isReading.Load() && now.Sub(listedAt) > nodeListInterval
 		isDue = isDue || now.Sub(lastLinkedAt) > isolationTimeout && now.Sub(listedAt) > isolationTimeout
+		isDue = isDue || n.hasListingFailed.Load() && len(n.hub.Links()) == 0 && now.Sub(listedAt) > listRetryDelay
 		if isDue {
 			listedAt = now
 			n.listNodes(ctx)
@@ -127,6 +130,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	nodes, err := n.store.ListMembers(callCtx)
+	n.hasListingFailed.Store(err != nil)
 	if err != nil {
 		event.MembershipLost.Log(n.logger, zap.String("cause", eris.Cause(err).Error()))
 		return
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -93,6 +93,8 @@
 	// estimatedNodeCount is the number of members that the last join has told; zero
 	// before the first.
 	estimatedNodeCount atomic.Int64
+	// hasListingFailed reports whether the last call that lists the members failed.
+	hasListingFailed atomic.Bool
 	// membershipMu is held during a call that joins or leaves, so that a join never
 	// follows the leave.
 	membershipMu sync.Mutex
--- a/gateway/planintime_test.go
+++ b/gateway/planintime_test.go
@@ -51,6 +51,7 @@
 		c.waitFor(waitTimeout, "plan 7", func() bool { return c.serves(i, "i-b") })
 	}
 	c.store.Restore(1)
+	c.putTarget("i-b", "b", "east", "ready")
 	time.Sleep(applyBound)
 	c.wrapStore = func(s gateway.Store) gateway.Store {
 		return loneStore{Store: s, visibleAt: time.Now().Add(1500 * time.Millisecond)}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -231,7 +231,7 @@
 	}
 	// The targets are ordered by key: of two targets with the same address a table keeps
 	// the later, which must be the same one each time.
-	for _, r := range s.copies[replica.Targets].All() {
+	for _, r := range s.copies[replica.Targets].Newest() {
 		if r.Deleted && !s.checkRetained(r.Key, now, &snap) {
 			continue
 		}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -97,13 +97,9 @@
 	// increases. It tells an old record of a restored store from one that was written
 	// again. Zero means that the value has none.
 	ParseSequence func(key string, value []byte) int64
-}
-
-// storedRecord is a record with data derived from its value.
-type storedRecord struct {
-	Record
-	writerEpoch     int64  // Content.WriterEpoch of the value
-	significantHash Digest // recordHash of Content.Significant; 0 if deleted
+	// IsVersioned is set if the sequence numbers are versions that also order the records
+	// of one epoch: a lower one never replaces a higher one.
+	IsVersioned bool
 }
 
 // Copy is a node's copy of one topic. Its zero value is empty. It is not safe for
@@ -111,7 +107,7 @@
 type Copy struct {
 	Rules Rules
 
-	records    map[string]storedRecord
+	records    map[string]keyState
 	epoch      Epoch     // the newest epoch of any record, listing or mark
 	endOffset  Offset    // all records of the epoch before it have been read
 	readAt     time.Time // time of that read
@@ -161,43 +157,21 @@
 // merge applies one record and reports whether it changed significant content.
 func (c *Copy) merge(r Record) bool {
 	if c.records == nil {
-		c.records = map[string]storedRecord{}
+		c.records = map[string]keyState{}
 	}
 	if r.Epoch == 0 {
 		r.Epoch = c.epoch
 	}
 	c.BeginEpoch(r.Epoch)
-	before, exists := c.records[r.Key]
-	if exists && r.Epoch != before.Epoch {
-		return c.mergeAcrossEpochs(before, r)
-	}
-	if exists && comparePosition(r, before.Record) <= 0 {
-		return false
-	}
-	after := c.successor(before, r)
-	if !r.Deleted && after.writerEpoch != 0 && after.writerEpoch < before.writerEpoch {
+	before := c.records[r.Key]
+	if before.contains(r) {
 		return false
 	}
-	return c.store(before, after)
-}
-
-// successor returns a record with its derived data, to be stored in place of before.
-func (c *Copy) successor(before storedRecord, r Record) storedRecord {
-	if r.Deleted {
-		// The value and its writerEpoch are kept, so that a late record of an earlier
-		// process, or an old one of a restored store, is recognised.
-		r.Value = before.Value
-		return storedRecord{Record: r, writerEpoch: before.writerEpoch}
-	}
-	content := c.parseContent(r.Value)
-	return storedRecord{Record: r, writerEpoch: content.WriterEpoch, significantHash: recordHash(r.Key, content.Significant)}
-}
-
-// store replaces a record and reports whether that changed significant content.
-func (c *Copy) store(before, after storedRecord) bool {
-	c.records[after.Key] = after
-	c.digest ^= before.significantHash ^ after.significantHash
-	return before.significantHash != after.significantHash
+	after := c.withRecord(before, r)
+	c.records[r.Key] = after
+	wasHash, isHash := before.effective().significantHash, after.effective().significantHash
+	c.digest ^= wasHash ^ isHash
+	return wasHash != isHash
 }
 
 // parseContent applies Rules.ParseContent, or treats all of the value as significant.
@@ -253,12 +227,12 @@
 		return changed
 	}
 	c.needsListing = false
-	for key, stored := range c.records {
-		if listed[key] || stored.Deleted || c.isCarriedOver(stored) && !l.DropCarriedOver {
+	for key, state := range c.records {
+		if listed[key] || state.effective().Deleted || c.isCarriedOver(state) && !l.DropCarriedOver {
 			continue
 		}
-		deletion := Record{Topic: stored.Topic, Key: key, Offset: l.EndOffset - 1, Epoch: l.Epoch, Deleted: true}
-		if comparePosition(stored.Record, deletion) < 0 && c.merge(deletion) {
+		deletion := Record{Topic: state.latest.Topic, Key: key, Offset: l.EndOffset - 1, Epoch: l.Epoch, Deleted: true}
+		if comparePosition(state.latest.Record, deletion) < 0 && c.merge(deletion) {
 			changed = append(changed, deletion)
 		}
 	}
@@ -311,21 +285,40 @@
 	return c.endOffset, c.readAt
 }
 
-// Each yields the records, including deleted ones, in no particular order.
+// Each yields the record that counts of each key, including deleted ones, in no
+// particular order.
 func (c *Copy) Each(yield func(Record) bool) {
-	for _, stored := range c.records {
-		if !yield(stored.Record) {
+	for _, state := range c.records {
+		if !yield(state.effective().Record) {
 			return
 		}
 	}
 }
 
-// All returns the records, including deleted ones, ordered by key.
-func (c *Copy) All() []Record {
+// Newest returns the record that counts of each key, including deleted ones, ordered by
+// key.
+func (c *Copy) Newest() []Record {
 	records := make([]Record, 0, len(c.records))
 	for r := range c.Each {
 		records = append(records, r)
 	}
-	slices.SortFunc(records, func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(records, compareKey)
 	return records
 }
+
+// All returns the records that another copy needs to become equal to this one, ordered by
+// key and position.
+func (c *Copy) All() []Record {
+	records := make([]Record, 0, len(c.records))
+	for _, state := range c.records {
+		if state.kept != nil {
+			records = append(records, state.kept.Record)
+		}
+		records = append(records, state.latest.Record)
+	}
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Or(compareKey(a, b), comparePosition(a, b)) })
+	return records
+}
+
+// compareKey compares the keys of two records.
+func compareKey(a, b Record) int { return strings.Compare(a.Key, b.Key) }
