Count a topic as read only as far as its records are held

Callers: a node that had missed a plan served the older one for seconds, and longer if it took over reading. Cause: the mark of a peer, which says how far a reader has read, became the node's own position, although the records before it had not arrived. As a reader it went on behind them, and as a peer it passed the mark on beside a digest of its own. A copy that differs was noticed at the second mark, 0.8 s later at best, and by the state message of a link only 2 s later. Change: a copy knows how far it holds records (its own reads and listings, and marks whose digest equals its own) apart from how far a reader has read; it reads from the former, and passes marks on only if both are equal. Records are sent before the mark that covers them, so a copy of the operator's topic that differs at a mark requests the records at once. TestMarkOfEarlierEpochIsIgnored asks for the marked end, which has a name of its own now.

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -39,7 +39,7 @@
 // rotation.
 func (d peerDelegate) State() peer.Message {
 	now := time.Now()
-	m := peer.Message{Marks: d.node.state.marks(now)}
+	m := peer.Message{Marks: d.node.state.marks(now, replica.Operator, replica.Targets)}
 	if !d.node.isLeaving.Load() {
 		m.Sender, m.KnownNodeCount = &d.node.self, len(d.node.state.fleetNodes(now))
 	}
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -157,7 +157,7 @@
 			return
 		case <-timer.C:
 		}
-		if r.node.state.hasLowerReader(r.node.readerID()) {
+		if r.node.state.hasLowerReader(replica.Targets, r.node.readerID()) {
 			event.ReaderTurn.Log(r.node.logger, zap.Bool("reading", false))
 			return
 		}
@@ -218,7 +218,7 @@
 		changed = n.state.applyRecords(topic, batch.Records, "store", now)
 	}
 	couldServe := n.state.canServe()
-	n.state.applyMark(replica.ReadMark{Topic: topic, EndOffset: batch.NextOffset, Reader: n.readerID(), Epoch: batch.Epoch}, now)
+	n.state.finishRead(replica.ReadMark{Topic: topic, EndOffset: batch.NextOffset, Reader: n.readerID(), Epoch: batch.Epoch}, now)
 	if len(changed) > 0 || !couldServe && n.state.canServe() {
 		n.applyState()
 		n.broadcastRecords(changed)
@@ -286,5 +286,5 @@
 
 // broadcastRecords sends new records to all peers, with the marks of the topics.
 func (n *Node) broadcastRecords(changed []replica.Record) {
-	n.hub.Broadcast(peer.Message{Records: changed, Marks: n.state.marks(time.Now())}, nil)
+	n.hub.Broadcast(peer.Message{Records: changed, Marks: n.state.marks(time.Now(), replica.Operator, replica.Targets)}, nil)
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -37,8 +37,6 @@
 	// mismatchSince is when the copy of each topic began to differ from that of a
 	// reader; zero if it does not.
 	mismatchSince [replica.TopicCount]time.Time
-	// planOffset is the offset of the record with the plan.
-	planOffset replica.Offset
 	// decodedTargets caches the decoded record of each target by key, so that it is
 	// decoded only when it changes. The entry of a deleted record stays, since the
 	// target may be retained.
@@ -71,7 +69,7 @@
 		s.beginEpoch(topic, r.Epoch, now)
 	}
 	changed = s.copies[topic].Merge(records)
-	s.applyChanges(changed, source, now)
+	s.applyChanges(topic, changed, source, now)
 	return changed
 }
 
@@ -84,18 +82,19 @@
 	changed = s.copies[topic].MergeListing(replica.Listing{
 		Records: b.Records, EndOffset: b.EndOffset, Epoch: b.Epoch, DropCarriedOver: s.isCarryOverExpired(topic, now),
 	})
-	s.applyChanges(changed, source, now)
+	s.applyChanges(topic, changed, source, now)
 	return changed
 }
 
-// mismatchTolerance is how long a copy must differ from that of the reader before all
-// records are requested from a peer. Records in transit resolve most differences, and
-// all records of a large fleet are a long message.
-const mismatchTolerance = 500 * time.Millisecond
+// mismatchTolerance is how long a copy of the targets must differ from that of the reader
+// before all records are requested from a peer. Records in transit resolve most
+// differences, and all records of a large fleet are a long message. Operators write rarely
+// and send records before marks, so a difference in their topic is a lost record.
+var mismatchTolerance = [replica.TopicCount]time.Duration{replica.Targets: 500 * time.Millisecond}
 
 // detectLastingMismatch compares the digest of a copy with that of a reader that has read
 // at least as far; a mark of an earlier offset is ignored. It reports whether they have
-// differed for longer than mismatchTolerance, or differ at all if the copy has no mark yet.
+// differed for mismatchTolerance, or differ at all if the copy has no mark yet.
 func (s *nodeState) detectLastingMismatch(m replica.ReadMark, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,33 +103,47 @@
 	}
 	s.beginEpoch(m.Topic, m.Epoch, now)
 	_, readAt := s.copies[m.Topic].ReadPosition()
-	s.copies[m.Topic].SetReaderDigest(m.Digest)
-	if m.Digest == s.copies[m.Topic].Digest() {
+	if s.copies[m.Topic].CompareDigest(m) {
 		s.mismatchSince[m.Topic] = time.Time{}
 		return false
 	}
 	if s.mismatchSince[m.Topic].IsZero() {
 		s.mismatchSince[m.Topic] = now
 	}
-	return readAt.IsZero() || now.Sub(s.mismatchSince[m.Topic]) > mismatchTolerance
+	return readAt.IsZero() || now.Sub(s.mismatchSince[m.Topic]) >= mismatchTolerance[m.Topic]
 }
 
-// applyMark records up to which offset and when the store was read, and reports whether
-// the mark is new.
+// applyMark records up to which offset and when a peer has read the store, and reports
+// whether the mark is new.
 func (s *nodeState) applyMark(m replica.ReadMark, readAt time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	topic := m.Topic
-	if topic == replica.Targets && s.firstMarkAt.IsZero() {
-		s.firstMarkAt = time.Now()
+	s.prepareMark(m, readAt)
+	return s.copies[m.Topic].AdvanceReadMark(m, readAt)
+}
+
+// finishRead records up to which offset this node has read the store and merged the
+// records.
+func (s *nodeState) finishRead(m replica.ReadMark, readAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prepareMark(m, readAt)
+	s.copies[m.Topic].FinishRead(m, readAt)
+}
+
+// prepareMark updates what follows from a mark other than its copy. s.mu must be held.
+func (s *nodeState) prepareMark(m replica.ReadMark, readAt time.Time) {
+	if m.Topic == replica.Targets {
+		if s.firstMarkAt.IsZero() {
+			s.firstMarkAt = time.Now()
+		}
+		s.detectRecovery(readAt)
 	}
-	s.detectRecovery(readAt)
-	s.beginEpoch(topic, m.Epoch, readAt)
-	return s.copies[topic].AdvanceReadMark(m, readAt)
+	s.beginEpoch(m.Topic, m.Epoch, readAt)
 }
 
-// detectRecovery sets recoveredAt if a read at readAt is the first after an outage of the
-// store. s.mu must be held.
+// detectRecovery sets recoveredAt if a read of the targets at readAt is the first after an
+// outage of their topic. s.mu must be held.
 func (s *nodeState) detectRecovery(readAt time.Time) {
 	_, lastReadAt := s.copies[replica.Targets].ReadPosition()
 	if !lastReadAt.IsZero() && readAt.Sub(lastReadAt) > outageThreshold && readAt.Sub(s.recoveredAt) > outageThreshold {
@@ -140,13 +153,15 @@
 
 // applyChanges updates the state that is derived from changed records. s.mu must be
 // held.
-func (s *nodeState) applyChanges(changed []replica.Record, source string, now time.Time) {
-	s.detectRecovery(now)
+func (s *nodeState) applyChanges(topic replica.Topic, changed []replica.Record, source string, now time.Time) {
+	if topic == replica.Targets {
+		s.detectRecovery(now)
+	}
 	if len(changed) > 0 {
 		s.revision++
 	}
 	for _, r := range changed {
-		switch r.Topic {
+		switch topic {
 		case replica.Operator:
 			s.applyOperatorRecord(r, source)
 		case replica.Targets:
@@ -172,7 +187,7 @@
 		event.PlanOutdated.Log(s.logger, zap.Int64("version", int64(plan.Version)), zap.Int64("in-force", int64(s.plan.Version)), zap.Uint64("offset", uint64(r.Offset)))
 		return
 	}
-	s.plan, s.planOffset = plan, r.Offset
+	s.plan = plan
 	event.PlanInForce.Log(s.logger, zap.Int64("version", int64(plan.Version)), zap.Uint64("offset", uint64(r.Offset)), zap.String("source", source))
 }
 
@@ -269,39 +284,40 @@
 	return records
 }
 
-// marksLocked returns the marks of the topics whose copy is complete. It omits the others:
-// peers compare digests to find out whether they miss records, and the digest of an
-// incomplete copy cannot show that. s.mu must be held.
-func (s *nodeState) marksLocked(now time.Time) (marks []replica.ReadMark) {
-	for t := range replica.TopicCount {
-		end, readAt := s.copies[t].ReadPosition()
-		if !readAt.IsZero() && s.copies[t].HasBeenComplete() {
-			marks = append(marks, replica.ReadMark{Topic: t, EndOffset: end, AgeMillis: peer.Milliseconds(now.Sub(readAt)), Reader: s.copies[t].LastReader(), Digest: s.copies[t].Digest(), Epoch: s.copies[t].Epoch()})
+// marks returns the marks of those topics whose copy is complete and holds what the mark
+// covers. Peers compare digests to find out whether they miss records, and the digest of
+// any other copy cannot show that.
+func (s *nodeState) marks(now time.Time, topics ...replica.Topic) (marks []replica.ReadMark) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range topics {
+		c := &s.copies[t]
+		if _, readAt := c.ReadPosition(); !readAt.IsZero() && c.HasBeenComplete() && c.IsCurrent() {
+			marks = append(marks, replica.ReadMark{Topic: t, EndOffset: c.MarkedEnd(), AgeMillis: peer.Milliseconds(now.Sub(readAt)), Reader: c.LastReader(), Digest: c.Digest(), Epoch: c.Epoch()})
 		}
 	}
 	return marks
 }
 
-// marks returns the marks of the topics whose copy is complete.
-func (s *nodeState) marks(now time.Time) []replica.ReadMark {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.marksLocked(now)
-}
-
-// readPosition returns the offset from which to read a topic, and when it was last read.
+// readPosition returns the offset from which to read a topic, before which this node holds
+// all records, and when it was last read.
 func (s *nodeState) readPosition(topic replica.Topic) (end replica.Offset, readAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.copies[topic].ReadPosition()
 }
 
-// hasLowerReader reports whether the last reader of the targets topic has a lower ID
-// than self.
-func (s *nodeState) hasLowerReader(self replica.ReaderID) bool {
+// hasLowerReader reports whether the last reader of a topic has a lower ID than self.
+func (s *nodeState) hasLowerReader(topic replica.Topic, self replica.ReaderID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.copies[replica.Targets].LastReader() < self
+	return s.copies[topic].LastReader() < self
+}
+
+// markAge returns the time since the last read of a topic that this node knows of.
+func (s *nodeState) markAge(topic replica.Topic, now time.Time) time.Duration {
+	_, readAt := s.readPosition(topic)
+	return now.Sub(readAt)
 }
 
 // oldestReadAt returns the earliest of the times at which each topic was last read.
@@ -322,7 +338,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := &s.copies[topic]
-	end, _ := c.ReadPosition()
+	end := c.MarkedEnd()
 	c.AdvanceReadMark(replica.ReadMark{Topic: topic, EndOffset: end, Reader: by, Epoch: c.Epoch()}, readAt)
 }
 
--- a/gateway/state_test.go
+++ b/gateway/state_test.go
@@ -282,7 +282,7 @@
 	for t := range replica.TopicCount {
 		complete.applyMark(replica.ReadMark{Topic: t, EndOffset: 3, Reader: 7}, time.Now())
 	}
-	marks := complete.marks(time.Now())
+	marks := complete.marks(time.Now(), replica.Operator, replica.Targets)
 	applyMarks := func(s *nodeState) {
 		for _, m := range marks {
 			s.detectLastingMismatch(m, time.Now())
@@ -319,7 +319,7 @@
 				if got := s.canServe(); got != tt.want {
 					t.Errorf("after %q: got canServe %v, want %v", tt.steps, got, tt.want)
 				}
-				if got, want := len(s.marks(time.Now())) == int(replica.TopicCount), tt.want && tt.steps[len(tt.steps)-1] != "the timeout"; got != want {
+				if got, want := len(s.marks(time.Now(), replica.Operator, replica.Targets)) == int(replica.TopicCount), tt.want && tt.steps[len(tt.steps)-1] != "the timeout"; got != want {
 					t.Errorf("after %q: has the marks of all topics: got %v, want %v", tt.steps, got, want)
 				}
 			})
--- a/replica/epoch.go
+++ b/replica/epoch.go
@@ -17,7 +17,8 @@
 			c.records[key] = state
 		}
 	} else {
-		c.endOffset, c.readerDigest, c.needsListing = 0, nil, true
+		c.endOffset, c.heldOffset, c.readerMark = 0, 0, nil
+		c.hasMark, c.needsListing = false, true
 	}
 	c.epoch = e
 }
--- a/replica/epoch_test.go
+++ b/replica/epoch_test.go
@@ -89,8 +89,8 @@
 	if c.AdvanceReadMark(ReadMark{EndOffset: 10, Epoch: 1, Reader: 1}, now.Add(time.Second)) {
 		t.Error("mark of the earlier epoch: got an advance, want none")
 	}
-	if end, _ := c.ReadPosition(); end != 4 || c.Epoch() != 2 {
-		t.Errorf("position: got %d of epoch %d, want 4 of epoch 2", end, c.Epoch())
+	if end := c.MarkedEnd(); end != 4 || c.Epoch() != 2 {
+		t.Errorf("marked end: got %d of epoch %d, want 4 of epoch 2", end, c.Epoch())
 	}
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -107,17 +107,20 @@
 type Copy struct {
 	Rules Rules
 
-	records    map[string]keyState
-	epoch      Epoch     // the newest epoch of any record, listing or mark
-	endOffset  Offset    // all records of the epoch before it have been read
-	readAt     time.Time // time of that read
-	lastReader ReaderID
-	digest     Digest
-	// readerDigest is the last digest passed to SetReaderDigest, or nil.
-	readerDigest    *Digest
+	records map[string]keyState
+	epoch   Epoch // the newest epoch of any record, listing or mark
+	// endOffset is how far the last reader had read at readAt, and heldOffset how far the
+	// records are in this copy, both in the newest epoch.
+	endOffset, heldOffset Offset
+	readAt                time.Time
+	lastReader            ReaderID
+	digest                Digest
+	// readerMark is the last mark passed to CompareDigest, or nil.
+	readerMark      *ReadMark
 	hasBeenComplete bool // see HasBeenComplete; never reset
-	// needsListing is set from the begin of an epoch until a listing or a mark of it.
-	needsListing bool
+	// hasMark reports whether the epoch has a mark, and needsListing is set from the begin
+	// of an epoch until the copy is known to be complete in it.
+	hasMark, needsListing bool
 }
 
 // Epoch returns the newest epoch that the copy has seen; zero if none.
@@ -136,16 +139,28 @@
 	return changed
 }
 
-// SetReaderDigest records the digest of a reader that has read as far as this copy or
-// further.
-func (c *Copy) SetReaderDigest(d Digest) {
-	c.readerDigest = &d
+// CompareDigest records the digest of a reader that has read as far as this copy or
+// further, and reports whether that of the copy is the same.
+func (c *Copy) CompareDigest(m ReadMark) bool {
+	m.Epoch = cmp.Or(m.Epoch, c.epoch)
+	c.readerMark = &m
 	c.updateComplete()
+	return m.Digest == c.digest
 }
 
-// updateComplete sets hasBeenComplete if the digest equals that of a reader.
+// updateComplete notes that the copy is complete if its digest equals that of a reader.
 func (c *Copy) updateComplete() {
-	c.hasBeenComplete = c.hasBeenComplete || c.readerDigest != nil && *c.readerDigest == c.digest
+	m := c.readerMark
+	if m == nil || m.Epoch != c.epoch || m.Digest != c.digest {
+		return
+	}
+	c.hasBeenComplete, c.needsListing = true, false
+	c.heldOffset = max(c.heldOffset, m.EndOffset)
+}
+
+// IsCurrent reports whether the copy holds all records that the last reader had read.
+func (c *Copy) IsCurrent() bool {
+	return !c.needsListing && c.heldOffset >= c.endOffset
 }
 
 // HasBeenComplete reports whether the copy was complete at some time: it merged a
@@ -227,6 +242,7 @@
 		return changed
 	}
 	c.needsListing = false
+	c.heldOffset = max(c.heldOffset, l.EndOffset)
 	for key, state := range c.records {
 		if listed[key] || state.effective().Deleted || c.isCarriedOver(state) && !l.DropCarriedOver {
 			continue
@@ -258,16 +274,26 @@
 	if behind > minMarkAdvance {
 		return false
 	}
-	if !c.needsListing && m.EndOffset == c.endOffset && behind > -minMarkAdvance && m.Reader >= c.lastReader {
+	if c.hasMark && m.EndOffset == c.endOffset && behind > -minMarkAdvance && m.Reader >= c.lastReader {
 		return false
 	}
-	c.endOffset, c.lastReader, c.needsListing = m.EndOffset, m.Reader, false
+	c.endOffset, c.lastReader, c.hasMark = m.EndOffset, m.Reader, true
 	if at.After(c.readAt) {
 		c.readAt = at
 	}
 	return true
 }
 
+// FinishRead records that this node has read and merged all records before the end of a
+// mark at time at, and reports like AdvanceReadMark.
+func (c *Copy) FinishRead(m ReadMark, at time.Time) bool {
+	c.BeginEpoch(m.Epoch)
+	if cmp.Or(m.Epoch, c.epoch) == c.epoch {
+		c.heldOffset = max(c.heldOffset, m.EndOffset)
+	}
+	return c.AdvanceReadMark(m, at)
+}
+
 // IsBefore reports whether the end of a mark is before the end that was already read.
 func (c *Copy) IsBefore(m ReadMark) bool {
 	epoch := cmp.Or(m.Epoch, c.epoch)
@@ -279,10 +305,15 @@
 	return c.lastReader
 }
 
-// ReadPosition returns the offset before which all records have been read, and the
-// time of that read.
-func (c *Copy) ReadPosition() (end Offset, at time.Time) {
-	return c.endOffset, c.readAt
+// ReadPosition returns the offset before which the copy holds all records, and when the
+// store was last read.
+func (c *Copy) ReadPosition() (held Offset, at time.Time) {
+	return c.heldOffset, c.readAt
+}
+
+// MarkedEnd returns how far the last reader had read.
+func (c *Copy) MarkedEnd() Offset {
+	return c.endOffset
 }
 
 // Each yields the record that counts of each key, including deleted ones, in no
