Leave out a plan that cannot be read before it replaces the one held

Callers: a node that started after such a record never became ready. Cause: copies took the record, so that only running nodes still had the plan before, in memory. The store promises valid plans; a damaged or partial record has no such promise. Change: replica.Rules.Validate is asked before a record is stored; a plan that does not decode leaves everything as it was, and a listing with it deletes nothing. The plan is decoded once.

--- a/gateway/state.go
+++ b/gateway/state.go
@@ -34,6 +34,8 @@
 	revision uint64
 	copies   [replica.TopicCount]replica.Copy
 	plan     *Plan
+	// decodedPlan is the plan of the last record that validatePlan accepted.
+	decodedPlan decodedPlan
 	// mismatchSince is when the copy of each topic began to differ from that of a
 	// reader; zero if it does not.
 	mismatchSince [replica.TopicCount]time.Time
@@ -58,6 +60,8 @@
 	for t := range replica.TopicCount {
 		s.copies[t].Rules = d.Rules(t)
 	}
+	s.copies[replica.Operator].Rules.Validate = s.validatePlan
+	s.copies[replica.Operator].Rules.OnInvalid = s.logUnreadablePlan
 	return s
 }
 
@@ -170,27 +174,6 @@
 	}
 }
 
-func (s *nodeState) applyOperatorRecord(r replica.Record, source string) {
-	if z, ok := s.decoder.WithdrawnZone(r.Key); ok {
-		event.ZoneOutOfService.Log(s.logger, zap.String("zone", string(z)), zap.Bool("out", !r.Deleted), zap.Uint64("offset", uint64(r.Offset)), zap.String("source", source))
-		return
-	}
-	if !s.decoder.IsPlanKey(r.Key) || r.Deleted {
-		return
-	}
-	plan, err := s.decoder.DecodePlan(r.Value)
-	if err != nil {
-		event.PlanUnreadable.Log(s.logger, zap.Uint64("offset", uint64(r.Offset)), zap.String("source", source), zap.Error(err))
-		return
-	}
-	if s.plan != nil && plan.Version <= s.plan.Version {
-		event.PlanOutdated.Log(s.logger, zap.Int64("version", int64(plan.Version)), zap.Int64("in-force", int64(s.plan.Version)), zap.Uint64("offset", uint64(r.Offset)))
-		return
-	}
-	s.plan = plan
-	event.PlanInForce.Log(s.logger, zap.Int64("version", int64(plan.Version)), zap.Uint64("offset", uint64(r.Offset)), zap.String("source", source))
-}
-
 func (s *nodeState) applyTargetRecord(r replica.Record, source string, now time.Time) {
 	delete(s.retainedUntil, r.Key)
 	state := "gone"
--- a/replica/order_test.go
+++ b/replica/order_test.go
@@ -95,3 +95,28 @@
 		t.Errorf("target that had left before the restore: got %q, want it deleted", got.Value)
 	}
 }
+
+// An invalid value must not replace the one before it, nor stop the next.
+func TestInvalidValueIsLeftOut(t *testing.T) {
+	var invalid int
+	c := Copy{Rules: Rules{
+		Validate: func(r Record) error {
+			if r.Value[0] != 'x' {
+				return strconv.ErrSyntax
+			}
+			return nil
+		},
+		OnInvalid: func(Record, error) { invalid++ },
+	}}
+	c.Merge([]Record{record("a", "x1", 1), record("a", "y2", 2)})
+	if got := string(c.Newest()[0].Value); got != "x1" {
+		t.Errorf("after an invalid value: got %q, want the one before", got)
+	}
+	if changed := c.MergeListing(Listing{Records: []Record{record("a", "y2", 2)}, EndOffset: 3}); len(changed) != 0 {
+		t.Errorf("listing of an invalid value: got changes %v, want none", changed)
+	}
+	c.Merge([]Record{record("a", "x3", 3)})
+	if got := string(c.Newest()[0].Value); got != "x3" || invalid != 2 {
+		t.Errorf("after a valid value: got %q and %d invalid ones, want x3 and 2", got, invalid)
+	}
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -100,6 +100,10 @@
 	// IsVersioned is set if the sequence numbers are versions that also order the records
 	// of one epoch: a lower one never replaces a higher one.
 	IsVersioned bool
+	// Validate returns an error for a value that must not replace the one before it; nil
+	// accepts every value. The record is then passed to OnInvalid, if that is set.
+	Validate  func(r Record) error
+	OnInvalid func(r Record, err error)
 }
 
 // Copy is a node's copy of one topic. Its zero value is empty. It is not safe for
@@ -179,7 +183,7 @@
 	}
 	c.BeginEpoch(r.Epoch)
 	before := c.records[r.Key]
-	if before.contains(r) {
+	if before.contains(r) || !c.accepts(r) {
 		return false
 	}
 	after := c.withRecord(before, r)
@@ -189,6 +193,18 @@
 	return wasHash != isHash
 }
 
+// accepts reports whether the value of a record is valid.
+func (c *Copy) accepts(r Record) bool {
+	if c.Rules.Validate == nil || r.Deleted {
+		return true
+	}
+	err := c.Rules.Validate(r)
+	if err != nil && c.Rules.OnInvalid != nil {
+		c.Rules.OnInvalid(r, err)
+	}
+	return err == nil
+}
+
 // parseContent applies Rules.ParseContent, or treats all of the value as significant.
 func (c *Copy) parseContent(value []byte) Content {
 	if c.Rules.ParseContent == nil {
