Read each topic of the store in a turn of its own

Callers: a plan that the store had acknowledged was not in force, anywhere, for as long as the part of the store with the targets was away; and for up to 3.6 s (2 s are allowed) when the reader's read of the operator's topic hung or missed a record while its other reads went on. Cause: both topics were read in one turn. A failed read of the targets ended the turn before the operator's topic was read, and a read of the targets confirmed the operator's topic as fresh while its own read was only waiting, so that no other node took over. Change: a topicReader for each topic, with its own turn, marks and back-off. Only a response of the store makes a mark. A read that does not reach the end of the topic goes on at once and makes none. The reader's read that fails without an answer is made once more at once, on another connection. An outage of the targets' topic retains targets, one of the operator's topic does not. store-away, store-back and reader-turn name the topic.

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -201,11 +201,9 @@
 // peerAddresses returns the addresses to which the hub keeps links.
 func (n *Node) peerAddresses() []vm.Address {
 	now := time.Now()
-	_, lastReadAt := n.state.readPosition(replica.Targets)
-	if lastReadAt.Before(n.startedAt) {
-		lastReadAt = n.startedAt
-	}
-	return n.selectPeers(n.state.fleetNodes(now), now.Sub(lastReadAt), len(n.hub.Links()) > 0)
+	// A part of the store may be away, which says nothing about links.
+	markAge := min(n.state.markAge(replica.Operator, now), n.state.markAge(replica.Targets, now), now.Sub(n.startedAt))
+	return n.selectPeers(n.state.fleetNodes(now), markAge, len(n.hub.Links()) > 0)
 }
 
 // selectPeers returns the addresses to dial: a few peers of the own zone and, for a few
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -26,7 +26,7 @@
 	// while the generation keeps changing.
 	minConfirmDelay = 350 * time.Millisecond
 	// nodeListInterval is the time between two listings of the members by the node that
-	// reads the store.
+	// reads the targets topic.
 	nodeListInterval = 5 * time.Second
 	// initialListDelay is the time from the start of a node until listNodesLoop may list
 	// the members: nodes that start with it have joined by then.
@@ -61,7 +61,7 @@
 		if err != nil {
 			event.MembershipLost.Log(n.logger, zap.String("cause", eris.Cause(err).Error()))
 			// Until it has joined, the others do not find this node.
-			wait = storeRetryDelay(len(n.state.fleetNodes(time.Now())))
+			wait = n.storeRetryDelay()
 		}
 		n.estimateFleet(m.NodeCount)
 		mayRelease := m.PartitionCount < partitionCount || m.PartitionCount > maxUnconfirmedPartitions
@@ -103,7 +103,7 @@
 	}
 }
 
-// listNodesLoop lists the members regularly, if this node reads the store or has been
+// listNodesLoop lists the members regularly, if this node reads the targets topic or has been
 // without links for isolationTimeout.
 func (n *Node) listNodesLoop(ctx context.Context) {
 	pause.For(ctx, initialListDelay)
@@ -114,7 +114,7 @@
 		if len(n.hub.Links()) > 0 {
 			lastLinkedAt = now
 		}
-		isDue := n.isReading.Load() && now.Sub(listedAt) > nodeListInterval
+		isDue := n.isReading[replica.Targets].Load() && now.Sub(listedAt) > nodeListInterval
 		isDue = isDue || now.Sub(lastLinkedAt) > isolationTimeout && now.Sub(listedAt) > isolationTimeout
 		isDue = isDue || n.hasListingFailed.Load() && len(n.hub.Links()) == 0 && now.Sub(listedAt) > listRetryDelay
 		if isDue {
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -74,7 +74,8 @@
 	// initialized is closed once nodeState.canServe has returned true.
 	initialized     chan struct{}
 	initializedOnce sync.Once
-	isReading       atomic.Bool
+	// isReading reports for each topic whether this node reads it from the store.
+	isReading [replica.TopicCount]atomic.Bool
 	// loggedReady is the readiness that was logged last.
 	loggedReady atomic.Bool
 	callMetrics *metrics.Calls
@@ -212,7 +213,7 @@
 
 // startLoops starts the node's background loops.
 func (n *Node) startLoops() {
-	n.goroutines.Go(func() { (&storeReader{node: n}).run(n.ctx) })
+	n.goroutines.Go(func() { n.readStore(n.ctx) })
 	n.goroutines.Go(func() { n.keepMembership(n.ctx) })
 	n.goroutines.Go(func() { n.listNodesLoop(n.ctx) })
 	n.goroutines.Go(func() { n.hub.Run(n.ctx) })
@@ -266,7 +267,7 @@
 		return now.Sub(readAt).Seconds()
 	}
 	return metrics.GatewayState{
-		IsReady: n.isReady(), IsStoreReader: n.isReading.Load(), PlanVersion: n.planVersion(),
+		IsReady: n.isReady(), IsStoreReader: n.isReading[replica.Operator].Load() || n.isReading[replica.Targets].Load(), PlanVersion: n.planVersion(),
 		OperatorAgeSeconds: age(replica.Operator), TargetsAgeSeconds: age(replica.Targets),
 		NodeCount: len(n.state.fleetNodes(now)), PeerLinkCount: len(n.hub.Links()), HeldCallCount: n.upstreams.admission.HeldCount(),
 		LimitedTargetCount: n.upstreams.limitedTargetCount(now),
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,259 +15,190 @@
 	"github.com/apricotmount/apricotmount/replica"
 )
 
-// One node reads the store and forwards the records to all others. There is no
-// election: a node takes over when the last mark it received is too old, and its own
-// marks then keep the others from taking over. If several nodes read, the one with the
-// lowest reader ID continues.
+// One node reads a topic of the store and forwards its records to all others. There is no
+// election: a node takes over when the last mark it received is too old, and its own marks
+// then keep the others from taking over. If several nodes read a topic, the one with the
+// lowest reader ID continues. The topics are read independently, since the part of the
+// store that holds one may be away.
 const (
-	// targetsReadInterval is the time between two reads of the targets topic. These
-	// reads do not wait for a record: targets write heartbeats all the time, so the
-	// wait would end at once.
-	targetsReadInterval = 800 * time.Millisecond
+	// targetsReadInterval is the time from one read of the targets topic to the next. These
+	// reads do not wait for a record: targets write heartbeats all the time, so the wait
+	// would end at once.
+	targetsReadInterval = time.Second
+	// operatorReadWait is how long one read of the operator topic waits for a record,
+	// since the operator writes rarely. Until the read returns nothing is known of the
+	// topic, so other nodes must not take over before that. The store may also fail to
+	// wake a read that began while a record was being written.
+	operatorReadWait = 920 * time.Millisecond
 	// takeoverAge is the age of the last mark from which another node may take over
 	// reading; each node adds a random delay of up to takeoverSpread.
-	takeoverAge    = 1150 * time.Millisecond
-	takeoverSpread = 550 * time.Millisecond
-	// operatorReadWait is how long one read of the operator topic waits for a record,
-	// since the operator writes rarely. The store may fail to wake a read that began
-	// while a record was being written, so the next read must still be in time.
-	operatorReadWait = 1200 * time.Millisecond
+	takeoverAge    = 1250 * time.Millisecond
+	takeoverSpread = 450 * time.Millisecond
 	// storeTimeout bounds a call to the store, in addition to the time that it waits
 	// for records.
 	storeTimeout = 700 * time.Millisecond
-	// minStoreRetryDelay and maxStoreRetryDelay bound the mean delay after a failed
-	// call. Between them the delay grows with the number of nodes, so that the fleet
-	// retries storeRetriesPerSecond times per second: the first node that reaches the
-	// store forwards the records to the others.
-	minStoreRetryDelay    = 700 * time.Millisecond
-	maxStoreRetryDelay    = 5 * time.Second
-	storeRetriesPerSecond = 5
-	// fleetStartWait is the maximum wait for records of peers before a node reads the
-	// store itself, if the whole fleet starts.
-	fleetStartWait = 6 * time.Second
-	// rejoinWait is the same for a node that starts while others run: they send it all
-	// records sooner than the store does, unless they have just started too.
-	rejoinWait = 60 * time.Millisecond
-	// restartSpreadPerNode, for each node of the fleet and up to maxRestartSpread, is the
-	// time over which the nodes of a fleet that was killed begin to read after that: long
-	// enough that the first to do so can send the records to most of the others.
-	restartSpreadPerNode = 500 * time.Microsecond
-	maxRestartSpread     = 200 * time.Millisecond
-	// conditionCheckInterval is the time between two checks of a condition.
-	conditionCheckInterval = 3 * time.Millisecond
 	// markCheckInterval is the time between two checks of the last mark's age by a node
 	// that does not read.
 	markCheckInterval = 50 * time.Millisecond
 )
 
-// storeReader reads the store while no other node does.
-type storeReader struct {
-	node *Node
-	// isOperatorFresh is set while a read of the operator topic waits or has just
-	// returned: the copy of the topic is then as fresh as the last response of the store.
-	isOperatorFresh atomic.Bool
-	isStoreDown     atomic.Bool
-}
-
-// run alternates between waiting for its turn to read and reading, until ctx ends.
-func (r *storeReader) run(ctx context.Context) {
-	r.waitForPeers(ctx)
-	for ctx.Err() == nil {
-		r.waitUntilStale(ctx)
-		r.readUntilReplaced(ctx)
-	}
-}
-
-// waitForPeers gives peers time to send their records to a node that has just started.
-// If the whole fleet starts, few nodes begin to read early, whatever its size. If a node
-// restarts, all others may have been killed with it: all list the members at once, so
-// that they are linked soon, but the first few to read send the records to the others.
-func (r *storeReader) waitForPeers(ctx context.Context) {
-	n := r.node
-	if n.settings.IsFirstFleetStart {
-		pause.For(ctx, lateBiasedDelay(fleetStartWait))
-		return
+// readStore reads the topics of the store while no other node does, until ctx ends.
+func (n *Node) readStore(ctx context.Context) {
+	n.waitForPeers(ctx)
+	for t := range replica.TopicCount {
+		n.goroutines.Go(func() { (&topicReader{node: n, topic: t}).run(ctx) })
 	}
-	n.listNodes(ctx)
-	n.waitUntil(ctx, rejoinWait, n.state.canServe)
-	n.waitUntil(ctx, lateBiasedDelay(restartSpread(int(n.estimatedNodeCount.Load()))), n.state.canServe)
 }
 
-// restartSpread returns the time over which nodeCount nodes that restart together begin
-// to read.
-func restartSpread(nodeCount int) time.Duration {
-	return min(time.Duration(nodeCount)*restartSpreadPerNode, maxRestartSpread)
-}
-
-// estimateFleet records the number of members that a join has told; zero means unknown.
-func (n *Node) estimateFleet(nodeCount int) {
-	if nodeCount > 0 {
-		n.estimatedNodeCount.Store(int64(nodeCount))
-	}
+// topicReader reads one topic of the store while no other node does.
+type topicReader struct {
+	node  *Node
+	topic replica.Topic
+	// isAway reports whether the last call failed.
+	isAway bool
 }
 
-// waitUntil waits until a condition holds, at most for the given time.
-func (n *Node) waitUntil(ctx context.Context, limit time.Duration, condition func() bool) {
-	for deadline := time.Now().Add(limit); time.Now().Before(deadline) && !condition() && ctx.Err() == nil; {
-		pause.For(ctx, conditionCheckInterval)
+// run alternates between waiting for its turn to read and reading, until ctx ends.
+func (r *topicReader) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.waitUntilStale(ctx)
+		if err := r.readUntilReplaced(ctx); err != nil {
+			r.backOff(ctx, err)
+		}
 	}
 }
 
 // waitUntilStale returns when the last mark is older than takeoverAge plus a random
 // delay, or when ctx ends.
-func (r *storeReader) waitUntilStale(ctx context.Context) {
+func (r *topicReader) waitUntilStale(ctx context.Context) {
 	maxAge := takeoverAge + lateBiasedDelay(takeoverSpread)
-	for ctx.Err() == nil {
-		if time.Since(r.node.state.oldestReadAt()) > maxAge {
-			return
-		}
+	for ctx.Err() == nil && r.node.state.markAge(r.topic, time.Now()) <= maxAge {
 		pause.For(ctx, markCheckInterval)
 	}
 }
 
-// readUntilReplaced reads both topics until a call to the store fails, a reader with a
-// lower ID is active or ctx ends.
-func (r *storeReader) readUntilReplaced(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if err := r.readTargets(ctx); err != nil {
-		r.backOff(ctx, err)
-		return
-	}
-	event.ReaderTurn.Log(r.node.logger, zap.Bool("reading", true))
-	if len(r.node.hub.Links()) == 0 {
-		// Others may have begun to read as well, as after an outage that began before
-		// the nodes had met. Only links show it.
-		r.node.listNodes(ctx)
+// readUntilReplaced reads the topic until a call to the store fails, a reader with a lower
+// ID is active or ctx ends.
+func (r *topicReader) readUntilReplaced(ctx context.Context) error {
+	// The first read does not wait for a record: until it returns, the node has no mark,
+	// and other nodes would start to read too.
+	start := time.Now()
+	if err := r.readAll(ctx, 0); err != nil {
+		return err
 	}
-	r.node.isReading.Store(true)
-	defer r.node.isReading.Store(false)
-	operatorErr := make(chan error, 1)
-	go func() { operatorErr <- r.readOperatorLoop(ctx) }()
+	r.beginTurn(ctx, start)
+	defer r.node.isReading[r.topic].Store(false)
 	for {
-		timer := time.NewTimer(targetsReadInterval)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case err := <-operatorErr:
-			timer.Stop()
-			r.backOff(ctx, err)
-			return
-		case <-timer.C:
+		if !r.pauseBetweenReads(ctx, start) {
+			return ctx.Err()
 		}
-		if r.node.state.hasLowerReader(replica.Targets, r.node.readerID()) {
-			event.ReaderTurn.Log(r.node.logger, zap.Bool("reading", false))
-			return
+		if r.node.state.hasLowerReader(r.topic, r.node.readerID()) {
+			event.ReaderTurn.Log(r.node.logger, zap.Stringer("topic", r.topic), zap.Bool("reading", false))
+			return nil
 		}
-		if err := r.readTargets(ctx); err != nil {
-			r.backOff(ctx, err)
-			return
+		start = time.Now()
+		err := r.readAll(ctx, r.wait())
+		if err != nil && ctx.Err() == nil && !isRefusal(err) {
+			// The connection may have gone silent; the client opens another one.
+			err = r.readAll(ctx, 0)
+		}
+		if err != nil {
+			return err
 		}
 	}
 }
 
-// readTargets reads the new records of the targets topic and broadcasts the marks.
-func (r *storeReader) readTargets(ctx context.Context) error {
-	start := time.Now()
-	if err := r.readTopic(ctx, replica.Targets, 0); err != nil {
-		return err
+// beginTurn logs that the node reads the topic, after its first read, which began at start.
+func (r *topicReader) beginTurn(ctx context.Context, start time.Time) {
+	n := r.node
+	if r.isAway {
+		r.isAway = false
+		event.StoreBack.Log(n.logger, zap.Stringer("topic", r.topic), zap.Int64("took-ms", time.Since(start).Milliseconds()))
 	}
-	if r.isStoreDown.Swap(false) {
-		event.StoreBack.Log(r.node.logger, zap.Int64("took-ms", time.Since(start).Milliseconds()))
+	event.ReaderTurn.Log(n.logger, zap.Stringer("topic", r.topic), zap.Bool("reading", true))
+	n.isReading[r.topic].Store(true)
+	if r.topic == replica.Targets && len(n.hub.Links()) == 0 {
+		// Others may have begun to read as well, as after an outage that began before
+		// the nodes had met. Only links show it.
+		n.listNodes(ctx)
 	}
-	if r.isOperatorFresh.Load() {
-		r.node.state.confirmRead(replica.Operator, r.node.readerID(), time.Now())
+}
+
+// wait returns how long a read of the topic waits for a record.
+func (r *topicReader) wait() time.Duration {
+	if r.topic == replica.Operator {
+		return operatorReadWait
 	}
-	r.node.broadcastRecords(nil)
-	return nil
+	return 0
 }
 
-// readOperatorLoop reads the operator topic until a call to the store fails or ctx ends.
-func (r *storeReader) readOperatorLoop(ctx context.Context) error {
-	defer r.isOperatorFresh.Store(false)
-	// The first read does not wait for a record: until it returns, the node cannot
-	// confirm that its copy is current, and other nodes would start to read too.
-	wait := time.Duration(0)
-	for ctx.Err() == nil {
-		if err := r.readTopic(ctx, replica.Operator, wait); err != nil {
+// pauseBetweenReads waits until the next read, after one that began at start, and reports
+// whether ctx is not done. A topic whose reads wait for a record needs no pause.
+func (r *topicReader) pauseBetweenReads(ctx context.Context, start time.Time) bool {
+	if r.topic == replica.Targets {
+		pause.For(ctx, time.Until(start.Add(targetsReadInterval)))
+	}
+	return ctx.Err() == nil
+}
+
+// readAll reads the topic up to its end. Only then does a mark say that this node knows all
+// of it.
+func (r *topicReader) readAll(ctx context.Context, wait time.Duration) error {
+	for {
+		hasMore, err := r.readOnce(ctx, wait)
+		if err != nil || !hasMore {
 			return err
 		}
-		wait = operatorReadWait
-		if !r.isOperatorFresh.Swap(true) {
-			r.node.broadcastRecords(nil)
-		}
+		wait = 0
 	}
-	return ctx.Err()
 }
 
-// readTopic reads the new records of a topic, or lists all if some have expired. It
-// applies and broadcasts them.
-func (r *storeReader) readTopic(ctx context.Context, topic replica.Topic, wait time.Duration) error {
+// readOnce reads the new records of the topic, or lists all if some have expired. It applies
+// and broadcasts them, and reports whether there are more.
+func (r *topicReader) readOnce(ctx context.Context, wait time.Duration) (hasMore bool, err error) {
 	n := r.node
-	batch, listed, err := r.fetch(ctx, topic, wait)
+	batch, listed, err := r.fetch(ctx, wait)
 	if err != nil {
-		return err
+		return false, err
 	}
 	now := time.Now()
+	couldServe := n.state.canServe()
 	var changed []replica.Record
 	if listed {
-		changed = n.state.applyListing(topic, batch, "store", now)
+		changed = n.state.applyListing(r.topic, batch, "store", now)
 	} else {
-		changed = n.state.applyRecords(topic, batch.Records, "store", now)
+		changed = n.state.applyRecords(r.topic, batch.Records, "store", now)
+	}
+	hasMore = !listed && batch.NextOffset < batch.EndOffset && len(batch.Records) > 0
+	if !hasMore {
+		n.state.finishRead(replica.ReadMark{Topic: r.topic, EndOffset: batch.NextOffset, Reader: n.readerID(), Epoch: batch.Epoch}, now)
 	}
-	couldServe := n.state.canServe()
-	n.state.finishRead(replica.ReadMark{Topic: topic, EndOffset: batch.NextOffset, Reader: n.readerID(), Epoch: batch.Epoch}, now)
 	if len(changed) > 0 || !couldServe && n.state.canServe() {
 		n.applyState()
-		n.broadcastRecords(changed)
 	}
-	return nil
+	n.hub.Broadcast(peer.Message{Records: changed, Marks: n.state.marks(time.Now(), r.topic)}, nil)
+	return hasMore, nil
 }
 
-// backOff logs the first failed call of an outage and waits before the next call.
-func (r *storeReader) backOff(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	if !r.isStoreDown.Swap(true) {
-		event.StoreAway.Log(r.node.logger, zap.String("cause", eris.Cause(err).Error()))
-	}
-	pause.For(ctx, storeRetryDelay(len(r.node.state.fleetNodes(time.Now()))))
-}
-
-// storeRetryDelay returns a random delay before one of nodeCount nodes retries a failed
-// call.
-func storeRetryDelay(nodeCount int) time.Duration {
-	mean := min(max(time.Duration(nodeCount)*time.Second/storeRetriesPerSecond, minStoreRetryDelay), maxStoreRetryDelay)
-	return mean/2 + rand.N(mean)
-}
-
-// lateBiasedDelay returns a random delay of at most maxDelay that is rarely short. Of many
-// nodes only a few act early, and the first has time to inform the others.
-func lateBiasedDelay(maxDelay time.Duration) time.Duration {
-	return time.Duration(float64(maxDelay) * math.Sqrt(math.Sqrt(rand.Float64())))
-}
-
-// fetch reads a topic from the end of this node's copy. It lists the topic if the copy
+// fetch reads the topic from the end of this node's copy. It lists the topic if the copy
 // needs it, if the records to read have expired or if the store has begun a new epoch;
 // listed reports which.
-func (r *storeReader) fetch(ctx context.Context, topic replica.Topic, wait time.Duration) (batch Batch, listed bool, err error) {
+func (r *topicReader) fetch(ctx context.Context, wait time.Duration) (batch Batch, listed bool, err error) {
 	state := r.node.state
-	end, readAt := state.readPosition(topic)
-	if !readAt.IsZero() && !state.needsListing(topic, time.Now()) {
-		batch, err = r.read(ctx, topic, end, wait)
+	end, readAt := state.readPosition(r.topic)
+	if !readAt.IsZero() && !state.needsListing(r.topic, time.Now()) {
+		batch, err = r.read(ctx, end, wait)
 		if err != nil && !eris.Is(err, ErrExpired) {
 			return batch, false, err
 		}
-		if err == nil && !batch.HasGap && batch.Epoch == state.epoch(topic) {
+		if err == nil && !batch.HasGap && batch.Epoch == state.epoch(r.topic) {
 			return batch, false, nil
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	batch, err = r.node.store.ListNewest(ctx, topic)
-	if err == nil && batch.Epoch < state.epoch(topic) {
+	batch, err = r.node.store.ListNewest(ctx, r.topic)
+	if err == nil && batch.Epoch < state.epoch(r.topic) {
 		return Batch{}, true, errEarlierEpoch
 	}
 	return batch, true, err
@@ -277,14 +207,35 @@
 // errEarlierEpoch is returned if the store answers from an epoch that it has left.
 var errEarlierEpoch = eris.New("the store's records are of an earlier epoch")
 
-// read reads a topic from an offset on, within storeTimeout after the wait.
-func (r *storeReader) read(ctx context.Context, topic replica.Topic, from replica.Offset, wait time.Duration) (Batch, error) {
+// isRefusal reports whether the store answered a call with an error.
+func isRefusal(err error) bool {
+	var refusal *RefusalError
+	return eris.As(err, &refusal) || eris.Is(err, errEarlierEpoch)
+}
+
+// read reads the topic from an offset on, within storeTimeout after the wait.
+func (r *topicReader) read(ctx context.Context, from replica.Offset, wait time.Duration) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
-	return r.node.store.Read(ctx, topic, from, wait)
+	return r.node.store.Read(ctx, r.topic, from, wait)
 }
 
-// broadcastRecords sends new records to all peers, with the marks of the topics.
-func (n *Node) broadcastRecords(changed []replica.Record) {
-	n.hub.Broadcast(peer.Message{Records: changed, Marks: n.state.marks(time.Now(), replica.Operator, replica.Targets)}, nil)
+// backOff logs the first failed call of an outage and waits before the next call.
+func (r *topicReader) backOff(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	n := r.node
+	if !r.isAway {
+		r.isAway = true
+		event.StoreAway.Log(n.logger, zap.Stringer("topic", r.topic), zap.String("cause", eris.Cause(err).Error()),
+			zap.Int64("age-ms", n.state.markAge(r.topic, time.Now()).Milliseconds()))
+	}
+	pause.For(ctx, n.storeRetryDelay())
+}
+
+// lateBiasedDelay returns a random delay of at most maxDelay that is rarely short. Of many
+// nodes only a few act early, and the first has time to inform the others.
+func lateBiasedDelay(maxDelay time.Duration) time.Duration {
+	return time.Duration(float64(maxDelay) * math.Sqrt(math.Sqrt(rand.Float64())))
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -303,28 +303,6 @@
 	return now.Sub(readAt)
 }
 
-// oldestReadAt returns the earliest of the times at which each topic was last read.
-func (s *nodeState) oldestReadAt() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	oldest := time.Now()
-	for t := range replica.TopicCount {
-		if _, readAt := s.copies[t].ReadPosition(); readAt.Before(oldest) {
-			oldest = readAt
-		}
-	}
-	return oldest
-}
-
-// confirmRead records that no record was added to a topic until readAt.
-func (s *nodeState) confirmRead(topic replica.Topic, by replica.ReaderID, readAt time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := &s.copies[topic]
-	end := c.MarkedEnd()
-	c.AdvanceReadMark(replica.ReadMark{Topic: topic, EndOffset: end, Reader: by, Epoch: c.Epoch()}, readAt)
-}
-
 // completenessTimeout is how long a node waits for complete copies after the first mark,
 // before it serves with the records it has.
 const completenessTimeout = time.Second
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,6 +15,16 @@
 // ErrExpired is returned for a read from an offset whose records have expired.
 var ErrExpired = eris.New("the records have expired")
 
+// RefusalError is returned if the store answered a call with a status that is not a
+// success.
+type RefusalError struct {
+	Status int
+	// Text is the beginning of the response.
+	Text string
+}
+
+func (e *RefusalError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Text) }
+
 // Batch is the result of one read of the store.
 type Batch struct {
 	Records []replica.Record
