Let a node that is parted from the fleet retry as if it were alone

Callers: a node that had been cut off from the store and from all nodes refused added routes by an older version for up to 8 s after it was back; a machine is excused for 3 s. Cause: the delay after a failed call grows with the fleet (1.3 to 3.9 s for 13 nodes, 2.5 to 7.5 s for 133), since the first node that gets through tells the others. A node without links is told nothing. It dialled peers again after up to 4.5 s, in rounds of 2 s. Change: a node with fewer links than it dials in its own zone retries as one of these few (0.35 to 1.05 s for one), and one without any dials all its peers every 0.7 s. Not covered: three or more linked nodes that are parted from a large fleet and from the store retry by its size.

--- a/gateway/readerstart.go
+++ b/gateway/readerstart.go
@@ -65,8 +65,12 @@
 	}
 }
 
-// storeRetryDelay returns a random delay before this node retries a failed call.
+// storeRetryDelay returns a random delay before this node retries a failed call. A node
+// with few links may be parted from most of the fleet, so that no retry of those helps it.
 func (n *Node) storeRetryDelay() time.Duration {
+	if links := len(n.hub.Links()); links < localLinkCount {
+		return storeRetryDelay(links + 1)
+	}
 	return storeRetryDelay(len(n.state.fleetNodes(time.Now())))
 }
 
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -34,11 +34,12 @@
 	// nodes.
 	slices.SortFunc(addresses, func(a, b vm.Address) int { return cmp.Compare(h.dialPreference(a), h.dialPreference(b)) })
 	now := time.Now()
+	isIsolated := len(h.links) == 0
 	for _, a := range addresses {
 		if missing <= 0 {
 			return
 		}
-		if dialledAddresses[a] || h.dialing[a] || h.ownAddresses[a] || now.Before(h.redialAt[a]) {
+		if dialledAddresses[a] || h.dialing[a] || h.ownAddresses[a] || !isIsolated && now.Before(h.redialAt[a]) {
 			continue
 		}
 		h.dialing[a] = true
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -73,6 +73,9 @@
 	// redialDelay is the base of the randomised delay before an address is dialled
 	// again after a failure or a closed link.
 	redialDelay = 3 * time.Second
+	// isolatedDialInterval is the time between two rounds of dialling by a node without
+	// any link, which leaves no address out.
+	isolatedDialInterval = 700 * time.Millisecond
 )
 
 func (s Settings) withDefaults() Settings {
@@ -127,10 +130,20 @@
 		h.dialMissing(ctx, cfg)
 		h.sendStateToNext()
 		// The jitter spreads the sends of nodes that started at the same time.
-		h.sleep(ctx, pause.Jitter(cfg.StateInterval))
+		h.sleep(ctx, pause.Jitter(h.roundInterval(cfg)))
 	}
 }
 
+// roundInterval returns the mean time until the next round.
+func (h *Hub) roundInterval(cfg Settings) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.links) == 0 {
+		return min(isolatedDialInterval, cfg.StateInterval)
+	}
+	return cfg.StateInterval
+}
+
 // sendStateToNext sends the node's state to the next link in rotation.
 func (h *Hub) sendStateToNext() {
 	h.mu.Lock()
