Let the soak restore a store without its configuration and part the store

New among the soak's faults: the part of the store with the targets fails by itself, which excuses no late configuration; a restored store gets its newest configuration back from the operator only in every other case. Before it publishes the last configuration, a run checks that every node serves the newest one.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -295,3 +296,27 @@
 		})
 	}
 }
+
+// A node that does not serve the route of the newest configuration must be found, also if no
+// configuration was published since.
+func TestConfigurationThatIsNotInForceIsAFinding(t *testing.T) {
+	for _, test := range []struct {
+		status int
+		want   string
+	}{{http.StatusOK, ""}, {http.StatusNotFound, "configuration-in-force"}} {
+		var response http.Handler = http.NotFoundHandler()
+		if test.status == http.StatusOK {
+			response = &platformtest.Target{ID: "t-0", Slots: 1}
+		}
+		server := httptest.NewServer(response)
+		h, n, _ := newTestHarness()
+		n.callerAddress = strings.TrimPrefix(server.URL, "http://")
+		h.nodes = []*node{n}
+		h.settings.ConfigTimeout = 50 * time.Millisecond
+		h.awaitConfig(t.Context(), newClient(), 0, time.Now())
+		server.Close()
+		if got := findingNames(h); got != test.want {
+			t.Errorf("status %d: got %q, want %q", test.status, got, test.want)
+		}
+	}
+}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -86,6 +86,13 @@
 		n.peerProxy.reset()
 	}},
 	{"plan", func(h *harness, _ *node) { h.publishConfig() }},
+	{"targets-topic", func(h *harness, _ *node) {
+		h.recordTargetsFault()
+		h.store.SetTopicFault(platformtest.TargetsTopic, platformtest.Fault(1+h.randomInt(3)))
+		time.Sleep(h.randomFaultDuration())
+		h.store.SetTopicFault(platformtest.TargetsTopic, platformtest.NoFault)
+		h.recordTargetsFault()
+	}},
 	{"target-joins", func(h *harness, _ *node) {
 		if err := h.addTarget(true); err != nil {
 			h.recorder.addFinding("soak", "%v", err)
@@ -218,6 +225,14 @@
 	h.storeFaultAt = time.Now()
 }
 
+// recordTargetsFault records a fault of the part of the store with the targets. It is no
+// excuse for a late configuration.
+func (h *harness) recordTargetsFault() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.targetsFaultAt = time.Now()
+}
+
 // awaitStop waits for the end of a planned stop and restarts the node.
 func (h *harness) awaitStop(n *node) {
 	if n.awaitExit(2 * graceSeconds * time.Second) {
--- a/soak/notice.go
+++ b/soak/notice.go
@@ -100,12 +100,15 @@
 }
 
 // restoreStore returns the store to a copy that lacks its newest records. Afterwards the
-// operator and the targets write what holds again.
+// targets write what holds again, and so does the operator, but for the configuration in
+// every other case: it must stay in force all the same.
 func (h *harness) restoreStore() {
 	h.recordStoreFault()
 	h.store.Restore(1 + h.randomInt(maxLostRecords))
 	time.Sleep(h.randomFaultDuration() / 3)
-	h.publishConfig()
+	if h.randomInt(2) == 0 {
+		h.publishConfig()
+	}
 	h.mu.Lock()
 	for _, z := range zones {
 		value := ""
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -104,6 +104,8 @@
 	sequence atomic.Int64
 	// storeFaultAt is when a fault of the store last began or ended.
 	storeFaultAt time.Time
+	// targetsFaultAt is when a fault of the targets topic alone last began or ended.
+	targetsFaultAt time.Time
 }
 
 // zones are the availability zones of a run.
@@ -253,6 +255,7 @@
 // checkRecovery repairs all faults and checks that calls are served again.
 func (h *harness) checkRecovery(ctx context.Context) {
 	h.store.SetFault(platformtest.NoFault)
+	h.store.SetTopicFault(platformtest.TargetsTopic, platformtest.NoFault)
 	h.mu.Lock()
 	for z := range h.zonesOut {
 		h.restoreZone(z)
@@ -281,22 +284,29 @@
 	h.checkPropagation(ctx, client)
 }
 
-// checkPropagation publishes a configuration while a target leaves, and checks that
-// every node serves its new route in time.
-func (h *harness) checkPropagation(ctx context.Context, client *http.Client) {
-	h.publishConfig()
-	h.removeTarget()
+// awaitConfig checks that every node serves the route of a configuration in time.
+func (h *harness) awaitConfig(ctx context.Context, client *http.Client, i int, since time.Time) {
 	limit := cmp.Or(h.settings.ConfigTimeout, propagationLimit)
-	i, published := h.newestConfig()
 	for _, n := range h.nodes {
 		for tries := 0; !h.servesConfig(ctx, client, n, i, tries); tries++ {
-			if time.Since(published) > limit || ctx.Err() != nil {
-				h.recorder.addFinding("configuration-in-force", "%s does not serve the new route after %s", n.name, limit)
+			if time.Since(since) > limit || ctx.Err() != nil {
+				h.recorder.addFinding("configuration-in-force", "%s does not serve the route of configuration %d after %s", n.name, i, limit)
 				break
 			}
 			time.Sleep(routePollInterval)
 		}
 	}
+}
+
+// checkPropagation checks that every node serves the route of the newest configuration,
+// which the store may have lost since. Then it publishes another one while a target leaves.
+func (h *harness) checkPropagation(ctx context.Context, client *http.Client) {
+	i, _ := h.newestConfig()
+	h.awaitConfig(ctx, client, i, time.Now())
+	h.publishConfig()
+	h.removeTarget()
+	i, published := h.newestConfig()
+	h.awaitConfig(ctx, client, i, published)
 	h.logf("the new configuration was active at all nodes after %s", time.Since(published).Round(time.Millisecond))
 }
 
@@ -306,7 +316,7 @@
 
 // servesConfig reports whether a node serves the route added by a configuration.
 func (h *harness) servesConfig(ctx context.Context, client *http.Client, n *node, configuration, try int) bool {
-	id := fmt.Sprintf("change-%s-%d", n.name, try)
+	id := fmt.Sprintf("change-%s-%d-%d", n.name, configuration, try)
 	h.recorder.recordSent(id, false, n)
 	status, err := h.send(ctx, client, n, id, configRoute(configuration))
 	return err == nil && status == http.StatusOK
--- a/soak/target.go
+++ b/soak/target.go
@@ -186,7 +186,7 @@
 	h.mu.Lock()
 	leftAt, zoneOutAt := t.leftAt, h.zonesOut[t.zone]
 	h.mu.Unlock()
-	if h.mustBeActive(n, leftAt) {
+	if h.mustBeActive(n, leftAt) && h.targetsUndisturbed() {
 		h.recorder.addFinding("no-work-after-drain", "%s by %s ran at %s, %s after it left", id, n.name, t.ID, time.Since(leftAt).Round(time.Millisecond))
 	}
 	if h.mustBeActive(n, zoneOutAt) {
@@ -207,3 +207,11 @@
 	now := time.Now()
 	return now.Sub(changedAt) > propagationLimit && now.Sub(storeFaultAt) > propagationLimit && n.undisturbedFor(now, propagationLimit)
 }
+
+// targetsUndisturbed reports whether the part of the store with the targets had no fault of
+// its own for propagationLimit.
+func (h *harness) targetsUndisturbed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.targetsFaultAt) > propagationLimit
+}
