Tell from a refused call how old its plan was and what the node knew

The expected text of TestRequestTraceShowsRequestLinesAndNodeState has the origin of the plan in addition.

--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/apricotmount/apricotmount/dispatch"
@@ -8,6 +10,7 @@
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/metrics"
 	"github.com/apricotmount/apricotmount/outcome"
+	"github.com/apricotmount/apricotmount/replica"
 	"github.com/apricotmount/apricotmount/target"
 )
 
@@ -131,5 +134,17 @@
 	if e.Service != "" {
 		n.gatewayMetrics.RecordCall(e.Service, e.Outcome, e.TotalDuration)
 	}
+	if e.Reason == outcome.NoService {
+		fields = append(fields, n.planAgeFields(time.Now())...)
+	}
 	outcomeEvents[e.Outcome].Log(n.logger, fields...)
 }
+
+// planAgeFields returns the log fields that tell how old the plan is by which a call was
+// refused, and how long ago any node is known to have looked for a newer one.
+func (n *Node) planAgeFields(now time.Time) []zap.Field {
+	return []zap.Field{
+		zap.Int64("plan-age-ms", n.upstreams.active.Load().age(now).Milliseconds()),
+		zap.Int64("operator-age-ms", n.state.markAge(replica.Operator, now).Milliseconds()),
+	}
+}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -267,7 +267,7 @@
 		return now.Sub(readAt).Seconds()
 	}
 	return metrics.GatewayState{
-		IsReady: n.isReady(), IsStoreReader: n.isReading[replica.Operator].Load() || n.isReading[replica.Targets].Load(), PlanVersion: n.planVersion(),
+		IsReady: n.isReady(), IsStoreReader: n.isReading[replica.Operator].Load() || n.isReading[replica.Targets].Load(), PlanVersion: n.planVersion(), PlanAgeSeconds: n.upstreams.active.Load().age(now).Seconds(),
 		OperatorAgeSeconds: age(replica.Operator), TargetsAgeSeconds: age(replica.Targets),
 		NodeCount: len(n.state.fleetNodes(now)), PeerLinkCount: len(n.hub.Links()), HeldCallCount: n.upstreams.admission.HeldCount(),
 		LimitedTargetCount: n.upstreams.limitedTargetCount(now),
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -67,6 +67,16 @@
 type activeConfig struct {
 	plan     *Plan
 	services map[service.Name]*serviceState
+	// since is when the plan became active.
+	since time.Time
+}
+
+// age returns how long the plan has been active; zero without one.
+func (a *activeConfig) age(now time.Time) time.Duration {
+	if a.plan == nil {
+		return 0
+	}
+	return now.Sub(a.since)
 }
 
 // serviceState is a service with the state needed to forward its calls.
@@ -129,6 +139,7 @@
 	cfg := old
 	if old.plan != snap.plan {
 		cfg = u.buildConfig(old, snap.plan)
+		cfg.since = now
 		u.roundRobins = map[string]*weightedRoundRobin{}
 	}
 	byService := map[service.Name][]vm.VM{}
--- a/logbook/logbook_test.go
+++ b/logbook/logbook_test.go
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	got := b.String()
-	for _, want := range []string{"+0s  n1  call-placed  forecast-ms=200 running=3 target=i-1", "believed plan 3; target: target-listed live, 800ms before", "+700ms  n1  call-unknown  reason=answer-lost"} {
+	for _, want := range []string{"+0s  n1  call-placed  forecast-ms=200 running=3 target=i-1", "believed plan 3 from store, 900ms before; target: target-listed live, 800ms before", "+700ms  n1  call-unknown  reason=answer-lost"} {
 		if !strings.Contains(got, want) {
 			t.Errorf("trace: got %q, want a part %q", got, want)
 		}
@@ -137,3 +137,26 @@
 		u.Differences()
 	})
 }
+
+// From the ID of a refused call one must see the plan that decided it, where it came from, and
+// which part of the store was away.
+func TestRequestTraceShowsPlanOriginAndPartsOfStore(t *testing.T) {
+	const lines = `{"ts":"2026-09-27T16:56:01.000Z","msg":"plan-in-force","event":230,"node":"n1","version":6,"source":"peer"}
+{"ts":"2026-09-27T16:56:02.000Z","msg":"store-away","event":302,"node":"n1","topic":"targets"}
+{"ts":"2026-09-27T16:56:02.500Z","msg":"store-back","event":303,"node":"n1","topic":"operator"}
+{"ts":"2026-09-27T16:56:03.000Z","msg":"call-not-run","event":701,"node":"n1","id":"q","reason":"no-service","version":6,"plan-age-ms":2000,"operator-age-ms":480}
+`
+	s := RequestTrace{ID: "q"}
+	if _, err := Read(strings.NewReader(lines), s.Add); err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	if err := s.WriteText(&b); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"operator-age-ms=480 plan-age-ms=2000", "believed plan 6 from peer, 2s before; store: store-back operator 500ms before, store-away targets 1s before"} {
+		if got := b.String(); !strings.Contains(got, want) {
+			t.Errorf("trace: got %q, want a part %q", got, want)
+		}
+	}
+}
--- a/logbook/state.go
+++ b/logbook/state.go
@@ -13,6 +13,8 @@
 type NodeState struct {
 	// PlanVersion is the version of the active plan, or zero if none was logged.
 	PlanVersion int64 `json:"plan"`
+	// PlanLine is the line that told it.
+	PlanLine Line `json:"-"`
 	// ZonesOutOfService holds the availability zones out of service, sorted by name.
 	ZonesOutOfService []string `json:"zones-out"`
 	// LastTargetLines maps the ID of each target to the last line about it that
@@ -20,8 +22,9 @@
 	LastTargetLines map[string]Line `json:"-"`
 	// LimitLines maps the ID of each target with a rate limit to the line that told it.
 	LimitLines map[string]Line `json:"-"`
-	// LastStoreLine is the last line about the availability of the store.
-	LastStoreLine Line `json:"-"`
+	// LastStoreLines maps each topic of the store to the last line about its
+	// availability; the empty one stands for the whole store.
+	LastStoreLines map[string]Line `json:"-"`
 	// Ready states whether the node reported itself ready.
 	Ready bool `json:"ready"`
 }
@@ -40,7 +43,7 @@
 	}
 	n := s.nodes[l.Node]
 	if n == nil || l.EventNumber == event.NodeStarting.Number {
-		n = &NodeState{LastTargetLines: map[string]Line{}, LimitLines: map[string]Line{}}
+		n = &NodeState{LastTargetLines: map[string]Line{}, LimitLines: map[string]Line{}, LastStoreLines: map[string]Line{}}
 		s.nodes[l.Node] = n
 	}
 	n.apply(l)
@@ -49,7 +52,7 @@
 func (n *NodeState) apply(l Line) {
 	switch l.EventNumber {
 	case event.PlanInForce.Number:
-		n.PlanVersion = l.PlanVersion
+		n.PlanVersion, n.PlanLine = l.PlanVersion, l
 	case event.ZoneOutOfService.Number:
 		n.ZonesOutOfService = slices.DeleteFunc(n.ZonesOutOfService, func(z string) bool { return z == l.Zone })
 		if l.ZoneOutOfService {
@@ -61,7 +64,7 @@
 	case event.TargetUnlimited.Number, event.TargetInstance.Number:
 		delete(n.LimitLines, l.Target)
 	case event.StoreAway.Number, event.StoreBack.Number:
-		n.LastStoreLine = l
+		n.LastStoreLines[l.Topic] = l
 	case event.NodeReady.Number:
 		n.Ready = true
 	case event.NodeUnready.Number, event.NodeLeaving.Number:
@@ -83,6 +86,7 @@
 	state.ZonesOutOfService = slices.Clone(n.ZonesOutOfService)
 	state.LastTargetLines = maps.Clone(n.LastTargetLines)
 	state.LimitLines = maps.Clone(n.LimitLines)
+	state.LastStoreLines = maps.Clone(n.LastStoreLines)
 	return state, true
 }
 
--- a/logbook/trace.go
+++ b/logbook/trace.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Step is one log line of a request, together with the state that its node had
@@ -14,13 +16,16 @@
 type Step struct {
 	Line        Line  `json:"line"`
 	PlanVersion int64 `json:"plan"`
+	// PlanOrigin is where the plan came from and how long before the line, as printed text.
+	PlanOrigin string `json:"believed-of-plan,omitempty"`
 	// LastTargetEvent is the name, the state and the age of the last event of the
 	// target, as printed text.
 	LastTargetEvent string `json:"believed-of-target,omitempty"`
 	// TargetLimit is the rate limit of the target and the age of the line that told it,
 	// as printed text; empty without one.
 	TargetLimit string `json:"believed-limit,omitempty"`
-	// LastStoreEvent is the name of the last event of the store.
+	// LastStoreEvent is the name, the topic and the age of the last event of each part of
+	// the store, as printed text.
 	LastStoreEvent string `json:"believed-of-store,omitempty"`
 	JSON           string `json:"text"`
 }
@@ -47,12 +52,15 @@
 	step := Step{Line: l, JSON: l.JSON}
 	if state, ok := t.states.State(l.Node); ok {
 		step.PlanVersion = state.PlanVersion
-		step.LastStoreEvent = state.LastStoreLine.EventName
+		step.LastStoreEvent = state.formatStore(l.Time)
+		if state.PlanVersion != 0 {
+			step.PlanOrigin = "from " + state.PlanLine.Source + ", " + formatAge(l.Time, state.PlanLine.Time)
+		}
 		if limit, ok := state.LimitLines[l.Target]; ok {
-			step.TargetLimit = fmt.Sprintf("%g a second, %s before", limit.RateLimit, l.Time.Sub(limit.Time).Round(timeResolution))
+			step.TargetLimit = fmt.Sprintf("%g a second, %s", limit.RateLimit, formatAge(l.Time, limit.Time))
 		}
 		if last, ok := state.LastTargetLines[l.Target]; ok {
-			step.LastTargetEvent = fmt.Sprintf("%s %s, %s before", last.EventName, last.State, l.Time.Sub(last.Time).Round(timeResolution))
+			step.LastTargetEvent = fmt.Sprintf("%s %s, %s", last.EventName, last.State, formatAge(l.Time, last.Time))
 		}
 	}
 	t.steps = append(t.steps, step)
@@ -93,7 +101,7 @@
 func (s Step) writeNodeState(w io.Writer) error {
 	var parts []string
 	if s.PlanVersion != 0 {
-		parts = append(parts, "plan "+formatVersion(s.PlanVersion))
+		parts = append(parts, "plan "+formatVersion(s.PlanVersion)+" "+s.PlanOrigin)
 	}
 	if s.LastTargetEvent != "" {
 		parts = append(parts, "target: "+s.LastTargetEvent)
@@ -114,3 +122,18 @@
 func formatVersion(v int64) string {
 	return strconv.FormatInt(v, 10)
 }
+
+// formatAge returns how long before now something was logged.
+func formatAge(now, then time.Time) string {
+	return now.Sub(then).Round(timeResolution).String() + " before"
+}
+
+// formatStore returns the last event of each part of the store that was logged until now.
+func (n NodeState) formatStore(now time.Time) string {
+	var parts []string
+	for _, topic := range slices.Sorted(maps.Keys(n.LastStoreLines)) {
+		l := n.LastStoreLines[topic]
+		parts = append(parts, strings.Join(strings.Fields(l.EventName+" "+topic+" "+formatAge(now, l.Time)), " "))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -34,8 +34,10 @@
 	IsReady bool
 	// IsStoreReader reports whether this node reads the store on behalf of all nodes.
 	IsStoreReader bool
-	// PlanVersion is the version of the active plan.
-	PlanVersion int64
+	// PlanVersion is the version of the active plan, and PlanAgeSeconds how long it has been
+	// active; zero without one.
+	PlanVersion    int64
+	PlanAgeSeconds float64
 	// OperatorAgeSeconds and TargetsAgeSeconds are the times since any node last read
 	// the operator topic and the targets topic of the store.
 	OperatorAgeSeconds, TargetsAgeSeconds float64
@@ -107,7 +109,7 @@
 // UpdateGauges sets all gauges to the given state.
 func (g *Gateway) UpdateGauges(s GatewayState) {
 	for name, value := range map[string]float64{
-		"ready": boolGauge(s.IsReady), "reading": boolGauge(s.IsStoreReader), "plan_version": float64(s.PlanVersion),
+		"ready": boolGauge(s.IsReady), "reading": boolGauge(s.IsStoreReader), "plan_version": float64(s.PlanVersion), "plan_age_seconds": s.PlanAgeSeconds,
 		"operator_age_seconds": s.OperatorAgeSeconds, "targets_age_seconds": s.TargetsAgeSeconds,
 		"nodes": float64(s.NodeCount), "peer_links": float64(s.PeerLinkCount), "calls_held": float64(s.HeldCallCount),
 		"targets_limited": float64(s.LimitedTargetCount),
