Bound the head of an answer, and the time for a request head on inner ports

Callers: none so far; a server whose answer has a head without end could fill 15 MB of a node's VM (136 MB on the smallest) with each call, load query or call to the store. A head that trickles in on the readiness, metrics or peers' port held its connection for ever. Cause: net/http reads 10 MB of headers unless told otherwise, and no port but the callers' had a time limit for headers. Change: 64 KB for the head of an answer of a target, the store or a peer; 5 s and 64 KB for a request head on the inner ports. No fault found: TestEndlessBodyEndsWithTimeout (ends with the route's timeout, not complete) and an endless body of the store (fails at 8 MB).

--- a/gateway/node.go
+++ b/gateway/node.go
@@ -161,9 +161,9 @@
 		server  *http.Server
 	}{
 		{n.settings.CallerAddress, callers},
-		{n.settings.ReadinessAddress, &http.Server{Handler: http.HandlerFunc(n.serveReadiness), ErrorLog: discardLogger}},
-		{string(n.settings.PeerAddress), &http.Server{Handler: peerMux, ErrorLog: discardLogger}},
-		{n.settings.MetricsAddress, &http.Server{Handler: metricsMux, ErrorLog: discardLogger}},
+		{n.settings.ReadinessAddress, newInnerServer(http.HandlerFunc(n.serveReadiness))},
+		{string(n.settings.PeerAddress), newInnerServer(peerMux)},
+		{n.settings.MetricsAddress, newInnerServer(metricsMux)},
 	} {
 		if err := n.listen(s.address, s.server); err != nil {
 			n.close()
@@ -194,8 +194,17 @@
 	callerIdleTimeout = time.Hour
 	// callerHeaderTimeout bounds the time in which a caller sends its headers.
 	callerHeaderTimeout = 30 * time.Second
+	// innerHeaderTimeout and maxInnerHeaderBytes bound the headers of a request to the
+	// other ports.
+	innerHeaderTimeout  = 5 * time.Second
+	maxInnerHeaderBytes = 64 << 10
 )
 
+// newInnerServer returns a server for a port that callers do not use.
+func newInnerServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ErrorLog: discardLogger, ReadHeaderTimeout: innerHeaderTimeout, MaxHeaderBytes: maxInnerHeaderBytes}
+}
+
 // listen opens a port and serves it in the background.
 func (n *Node) listen(address string, settings *http.Server) error {
 	s, err := listener.Serve(address, settings)
--- a/logbook/line.go
+++ b/logbook/line.go
@@ -30,12 +30,12 @@
 	RateLimit float64 `json:"limit"`
 	// PlanVersion is the version of the plan. ZoneOutOfService states that Zone is
 	// out of service.
-	PlanVersion      int64 `json:"version"`
+	PlanVersion int64 `json:"version"`
 	// Source is where the node had a plan from, the store or a peer, and Topic the part of
 	// the store that a line refers to; empty for all of it.
-	Source string `json:"source"`
-	Topic  string `json:"topic"`
-	ZoneOutOfService bool  `json:"out"`
+	Source           string `json:"source"`
+	Topic            string `json:"topic"`
+	ZoneOutOfService bool   `json:"out"`
 	// JSON is the JSON text of the line, without what precedes the first brace.
 	JSON string `json:"-"`
 }
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -92,6 +92,12 @@
 	}
 }
 
+// maxHeadBytes is the maximum length of the headers with which a peer accepts a link.
+const maxHeadBytes = 64 << 10
+
+// dialClient opens links. It keeps no connection: a link takes over its own.
+var dialClient = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: maxHeadBytes, DisableKeepAlives: true}}
+
 // dialLink opens a link to an address within DialTimeout.
 func (h *Hub) dialLink(ctx context.Context, cfg Settings, a vm.Address) (l *Link, err error) {
 	defer func() { err = eris.Wrapf(err, "open a link to %s", a) }()
@@ -101,7 +107,7 @@
 	if cfg.Token != "" {
 		header.Set("Authorization", "Bearer "+cfg.Token)
 	}
-	conn, _, err := websocket.Dial(ctx, "ws://"+string(a)+Path, &websocket.DialOptions{HTTPHeader: header})
+	conn, _, err := websocket.Dial(ctx, "ws://"+string(a)+Path, &websocket.DialOptions{HTTPHeader: header, HTTPClient: dialClient})
 	if err != nil {
 		return nil, err
 	}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -80,10 +80,16 @@
 		DisableCompression:  true,
 		WriteBufferSize:     bufferSize,
 		ReadBufferSize:      bufferSize,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return c
 }
 
+// maxHeadBytes is the maximum length of the status line and headers of a response. A head
+// without end must not fill the memory of a small VM.
+const maxHeadBytes = 64 << 10
+
 // bufferSize is the size of a connection's read and write buffers, in bytes.
 const bufferSize = 4 << 10
 
