--- a/replica/replica.go
+++ b/replica/replica.go
@@ -53,30 +53,10 @@
 	return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.Offset, b.Offset))
 }
 
-// ReadMark is the progress of a reader: the offset before which it had read all
-// records of a topic, and the time of that read.
-type ReadMark struct {
-	Topic     Topic  `cbor:"1,keyasint"`
-	EndOffset Offset `cbor:"2,keyasint"`
-	// AgeMillis is the time since that read, in milliseconds.
-	AgeMillis uint32 `cbor:"3,keyasint"`
-	// Reader identifies the node that read the store.
-	Reader ReaderID `cbor:"4,keyasint"`
-	// Digest is the digest of the reader's copy at that time.
-	Digest Digest `cbor:"5,keyasint"`
-	// Epoch is the epoch of EndOffset.
-	Epoch Epoch `cbor:"6,keyasint,omitempty"`
-}
-
 // Digest is a hash of the significant content of a topic's records. Copies with
 // equal content have equal digests, independent of the order of arrival.
 type Digest uint64
 
-// ReaderID identifies a node that reads the store, by the incarnation of its
-// process. If several nodes read at the same time, only the one with the lowest ID
-// continues.
-type ReaderID uint64
-
 // Content is the part of a value by which copies compare it.
 type Content struct {
 	// Significant is the part of the value that is compared. Values that differ only
@@ -143,30 +123,6 @@
 	return changed
 }
 
-// CompareDigest records the digest of a reader that has read as far as this copy or
-// further, and reports whether that of the copy is the same.
-func (c *Copy) CompareDigest(m ReadMark) bool {
-	m.Epoch = cmp.Or(m.Epoch, c.epoch)
-	c.readerMark = &m
-	c.updateComplete()
-	return m.Digest == c.digest
-}
-
-// updateComplete notes that the copy is complete if its digest equals that of a reader.
-func (c *Copy) updateComplete() {
-	m := c.readerMark
-	if m == nil || m.Epoch != c.epoch || m.Digest != c.digest {
-		return
-	}
-	c.hasBeenComplete, c.needsListing = true, false
-	c.heldOffset = max(c.heldOffset, m.EndOffset)
-}
-
-// IsCurrent reports whether the copy holds all records that the last reader had read.
-func (c *Copy) IsCurrent() bool {
-	return !c.needsListing && c.heldOffset >= c.endOffset
-}
-
 // HasBeenComplete reports whether the copy was complete at some time: it merged a
 // whole listing of the store, or its digest was equal to that of a reader.
 func (c *Copy) HasBeenComplete() bool {
@@ -230,108 +186,6 @@
 	return c.digest
 }
 
-// Listing is a whole listing of the store: the newest record of every key.
-type Listing struct {
-	Records []Record
-	// EndOffset is the end of the topic: later records may be missing. Epoch is its
-	// epoch.
-	EndOffset Offset
-	Epoch     Epoch
-	// DropCarriedOver deletes the records of earlier epochs that the listing lacks.
-	DropCarriedOver bool
-}
-
-// MergeListing merges a listing and returns the records that changed significant
-// content. Keys of the copy that the listing lacks are deleted as of its last offset,
-// except those with a record at that offset or later and, without DropCarriedOver,
-// those of earlier epochs. Nothing is deleted if the end is 0 or before the end that
-// was already read, or if the listing is of an earlier epoch.
-func (c *Copy) MergeListing(l Listing) (changed []Record) {
-	c.BeginEpoch(l.Epoch)
-	listed := make(map[string]bool, len(l.Records))
-	for _, r := range l.Records {
-		listed[r.Key] = true
-	}
-	changed = c.Merge(l.Records)
-	c.hasBeenComplete = true
-	if l.EndOffset == 0 || l.Epoch < c.epoch || l.EndOffset < c.endOffset {
-		return changed
-	}
-	c.needsListing = false
-	c.heldOffset = max(c.heldOffset, l.EndOffset)
-	for key, state := range c.records {
-		if listed[key] || state.effective().Deleted || c.isCarriedOver(state) && !l.DropCarriedOver {
-			continue
-		}
-		deletion := Record{Topic: state.latest.Topic, Key: key, Offset: l.EndOffset - 1, Epoch: l.Epoch, Deleted: true}
-		if comparePosition(state.latest.Record, deletion) < 0 && c.merge(deletion) {
-			changed = append(changed, deletion)
-		}
-	}
-	return changed
-}
-
-// minMarkAdvance is the difference in time from which a mark with an unchanged end
-// counts as later. A mark that returns through peers appears slightly later than it
-// was, as its age leaves out the time in transit.
-const minMarkAdvance = 200 * time.Millisecond
-
-// AdvanceReadMark records that a reader had read all records before the end of a mark
-// at time at. It reports whether that advanced the mark of the copy: by a newer epoch,
-// a higher end, a time later by minMarkAdvance, or a reader with a lower ID. A mark is
-// ignored if its end is before the recorded end or its time is more than minMarkAdvance
-// before the recorded time.
-func (c *Copy) AdvanceReadMark(m ReadMark, at time.Time) bool {
-	if c.IsBefore(m) {
-		return false
-	}
-	c.BeginEpoch(m.Epoch)
-	behind := c.readAt.Sub(at)
-	if behind > minMarkAdvance {
-		return false
-	}
-	if c.hasMark && m.EndOffset == c.endOffset && behind > -minMarkAdvance && m.Reader >= c.lastReader {
-		return false
-	}
-	c.endOffset, c.lastReader, c.hasMark = m.EndOffset, m.Reader, true
-	if at.After(c.readAt) {
-		c.readAt = at
-	}
-	return true
-}
-
-// FinishRead records that this node has read and merged all records before the end of a
-// mark at time at, and reports like AdvanceReadMark.
-func (c *Copy) FinishRead(m ReadMark, at time.Time) bool {
-	c.BeginEpoch(m.Epoch)
-	if cmp.Or(m.Epoch, c.epoch) == c.epoch {
-		c.heldOffset = max(c.heldOffset, m.EndOffset)
-	}
-	return c.AdvanceReadMark(m, at)
-}
-
-// IsBefore reports whether the end of a mark is before the end that was already read.
-func (c *Copy) IsBefore(m ReadMark) bool {
-	epoch := cmp.Or(m.Epoch, c.epoch)
-	return epoch < c.epoch || epoch == c.epoch && m.EndOffset < c.endOffset
-}
-
-// LastReader returns the reader of the last recorded read.
-func (c *Copy) LastReader() ReaderID {
-	return c.lastReader
-}
-
-// ReadPosition returns the offset before which the copy holds all records, and when the
-// store was last read.
-func (c *Copy) ReadPosition() (held Offset, at time.Time) {
-	return c.heldOffset, c.readAt
-}
-
-// MarkedEnd returns how far the last reader had read.
-func (c *Copy) MarkedEnd() Offset {
-	return c.endOffset
-}
-
 // Each yields the record that counts of each key, including deleted ones, in no
 // particular order.
 func (c *Copy) Each(yield func(Record) bool) {
