--- a/peer/hub_test.go
+++ b/peer/hub_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
+
 	"github.com/apricotmount/apricotmount/member"
 	"github.com/apricotmount/apricotmount/vm"
 )
@@ -237,3 +239,30 @@
 		last = at
 	}
 }
+
+// A peer whose message has no end must lose its link after a bounded number of bytes; other
+// links stay.
+func TestEndlessMessageClosesLink(t *testing.T) {
+	h, node, address := startHub(t, 1, "")
+	startHub(t, 2, "", address)
+	waitFor(t, "the link of the other peer", func() bool { return len(h.Links()) == 1 })
+	conn, _, err := websocket.Dial(t.Context(), "ws://"+string(address)+Path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.CloseNow()
+	w, err := conn.Writer(t.Context(), websocket.MessageBinary)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent, piece := 0, make([]byte, 4096)
+	for ; err == nil && sent < 16*maxMessageBytes; _, err = w.Write(piece) {
+		sent += len(piece)
+	}
+	if err == nil {
+		t.Errorf("endless message: got %d bytes accepted, want the link closed", sent)
+	}
+	waitFor(t, "the link of the other peer alone", func() bool { return len(h.Links()) == 1 })
+	before := node.receivedCount.Load()
+	waitFor(t, "messages of the other peer", func() bool { return node.receivedCount.Load() > before })
+}
