Free a key when its window is over, not at the next record

Callers: with no other record in the stream a key was refused as claimed for ever after its window (unknown key-claimed), though the call would have run. Cause: an expired grant counted until a later record pruned it. Change: a grant that has expired by the node's clock is no reason to refuse; the stream decides by its own. TestKeyIsFreeAfterItsWindow failed before.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -97,10 +97,10 @@
 	if !c.claimer.IsCaughtUp() {
 		return outcome.Failure{Outcome: outcome.NotRun, Reason: outcome.ClaimsBehind}
 	}
-	if failure := c.conflictFailure(); failure.Reason != "" {
+	now := time.Now()
+	if failure := c.conflictFailure(now); failure.Reason != "" {
 		return failure
 	}
-	now := time.Now()
 	if c.claimer.failFast(now) {
 		return outcome.Failure{Outcome: outcome.NotRun, Reason: outcome.ClaimUnavailable}
 	}
@@ -119,11 +119,12 @@
 	return c.finishWait()
 }
 
-// conflictFailure returns a failure if this node has read a grant on the key,
-// even one that has expired but is not pruned, and the zero Failure otherwise.
-func (c *Claim) conflictFailure() outcome.Failure {
+// conflictFailure returns a failure if this node has read a grant on the key that is
+// valid at the given time, and the zero Failure otherwise. An expired one may still be
+// valid by the log's clock, by which the stream then decides.
+func (c *Claim) conflictFailure(now time.Time) outcome.Failure {
 	g, held := c.claimer.State.GrantOf(c.request.Key)
-	if !held {
+	if !held || !g.ExpiresAt.After(now) {
 		return outcome.Failure{}
 	}
 	if g.Fingerprint != c.request.Fingerprint {
@@ -140,7 +141,7 @@
 	case statusGranted:
 		return outcome.Failure{}
 	case statusDenied:
-		if failure := c.conflictFailure(); failure.Reason != "" {
+		if failure := c.conflictFailure(c.requestedAt); failure.Reason != "" {
 			return failure
 		}
 		return outcome.Failure{Outcome: outcome.Unknown, Reason: outcome.KeyClaimed}
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -87,6 +87,19 @@
 	})
 }
 
+// A key whose window is over must be free at once, also if no other record reaches the stream.
+func TestKeyIsFreeAfterItsWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startClaimer(t, &standin.Log{}, 1, 1)
+		for range 2 {
+			if _, failure := acquire(t, c, "k", "body"); failure.Reason != "" {
+				t.Fatalf("call with a free key: got %v, want the claim granted", failure)
+			}
+			time.Sleep(keyWindow + time.Second)
+		}
+	})
+}
+
 func TestClaimedKeyIsRefusedWithinWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &standin.Log{}
