Drop the oldest releases of claims first when the log is away

Callers: keys of calls that had certainly not run stayed claimed for their whole window, the newest of them, while older ones were kept. Cause: releases of a failed append went behind newer ones, and the queue is trimmed from its front. TestOldestReleasesAreDropped failed before.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -300,3 +300,22 @@
 		}
 	})
 }
+
+// While the log is unavailable the oldest releases must be dropped: the windows of their keys
+// end first.
+func TestOldestReleasesAreDropped(t *testing.T) {
+	const excess = 3
+	c := &Claimer{State: &State{}}
+	c.Init()
+	for n := range SequenceNumber(maxQueuedReleases + excess) {
+		c.enqueueRelease(Release{SequenceNumber: n})
+	}
+	b, _ := c.takeBatch()
+	c.handleFailedAppend(b)
+	if got := len(c.releases); got != maxQueuedReleases {
+		t.Fatalf("queued releases: got %d, want %d", got, maxQueuedReleases)
+	}
+	if first, last := c.releases[0].SequenceNumber, c.releases[maxQueuedReleases-1].SequenceNumber; first != excess || last != maxQueuedReleases+excess-1 {
+		t.Errorf("queued releases: got %d to %d, want the newest, %d to %d", first, last, excess, maxQueuedReleases+excess-1)
+	}
+}
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -201,7 +201,7 @@
 			time.AfterFunc(lostAckTimeout, claim.cancelWait)
 		}
 	}
-	c.releases = append(c.releases, b.Releases...)
+	c.releases = append(b.Releases, c.releases...)
 	if excess := len(c.releases) - maxQueuedReleases; excess > 0 {
 		c.releases = c.releases[excess:]
 	}
@@ -212,8 +212,7 @@
 const lostAckTimeout = 300 * time.Millisecond
 
 // maxQueuedReleases is the number of releases to which a failed append trims
-// the queue, from its front. The keys of the trimmed releases stay claimed until
-// their windows end.
+// the queue, the oldest first. Their keys stay claimed until their windows end.
 const maxQueuedReleases = 1 << 14
 
 // logRetryInterval is the minimum time between claims that try the log while it
