Forget a claim that got no decision when its window is over

Each claim whose append failed was kept for the life of the process, so that long outages of the log grew its memory. A record that appears late is still released.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -319,3 +319,22 @@
 		t.Errorf("queued releases: got %d to %d, want the newest, %d to %d", first, last, excess, maxQueuedReleases+excess-1)
 	}
 }
+
+// A claim whose append failed has no decision ever. It must not be kept for longer than its
+// key could be claimed.
+func TestClaimWithoutDecisionIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &standin.Log{}
+		c := startClaimer(t, log, 1, 1)
+		log.SetDown(true)
+		if _, failure := acquire(t, c, "k", "body"); failure.Reason != outcome.ClaimUnavailable {
+			t.Fatalf("claim without the log: got %v, want it unavailable", failure)
+		}
+		time.Sleep(keyWindow + time.Second)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if got := len(c.pending); got != 0 {
+			t.Errorf("claims without a decision: got %d, want none after the window", got)
+		}
+	})
+}
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -199,6 +199,7 @@
 	for _, r := range b.Requests {
 		if claim := c.pending[r.SequenceNumber]; claim != nil {
 			time.AfterFunc(lostAckTimeout, claim.cancelWait)
+			time.AfterFunc(time.Duration(r.WindowSeconds)*time.Second, func() { c.forget(r.SequenceNumber) })
 		}
 	}
 	c.releases = append(b.Releases, c.releases...)
@@ -207,6 +208,14 @@
 	}
 }
 
+// forget drops a claim whose record may never appear. Until the window of its key is over
+// the claim stays known: a record that appears late must be released.
+func (c *Claimer) forget(n SequenceNumber) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.pending, n)
+}
+
 // lostAckTimeout is how long calls wait for the record of an unacknowledged
 // append to appear in the stream.
 const lostAckTimeout = 300 * time.Millisecond
