Count a stream's age from the start until its first read

Operators: a node that had just started logged the log as away at once, showed a log age of 292 years, and dialled every peer to extend leases it did not have. Cause: the zero time stood for no read. stream.Follower.ReadAge counts from the start of Run until the first read. TestReadAgeBeginsWithRun needs the new method and was not run on the old code.

--- a/node/leases.go
+++ b/node/leases.go
@@ -28,7 +28,7 @@
 // grants an extension does not take over any lease for a time.
 func (n *Node) extendLeases(ctx context.Context) {
 	runPeriodically(ctx, leaseExtensionInterval, func() {
-		leaseStreamUnavailable := time.Since(n.leaseFollower.LastReadAt()) > leaseLogContactTimeout
+		leaseStreamUnavailable := n.leaseFollower.ReadAge() > leaseLogContactTimeout
 		n.hub.SetDialAll(leaseStreamUnavailable)
 		if leaseStreamUnavailable && n.vmListMatchesMembers() {
 			n.requestLeaseExtension()
--- a/node/operator.go
+++ b/node/operator.go
@@ -175,7 +175,7 @@
 	s := operator.Status{
 		VM: string(n.settings.VM), Zone: string(n.settings.Zone), Incarnation: formatIncarnation(n.members.Self().Incarnation),
 		Ready: reason == "", Reason: reason, Revision: n.configState.Current().Revision,
-		LogAge:              time.Since(n.configFollower.LastReadAt()).Round(time.Millisecond).String(),
+		LogAge:              n.configFollower.ReadAge().Round(time.Millisecond).String(),
 		ClaimCount:          n.claimManager.State.Len(),
 		HeldColdShards:      n.leaseManager.HeldShardCount(time.Now()),
 		HeldCalls:           n.services.admissionPool.HeldCount(),
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -30,7 +30,7 @@
 			loggedClaimsReady = true
 			event.ClaimsReady.Log(n.logger, zap.Int("held", n.claimManager.State.Len()))
 		}
-		timedOut := time.Since(n.configFollower.LastReadAt()) > logContactTimeout
+		timedOut := n.configFollower.ReadAge() > logContactTimeout
 		if timedOut != logUnavailable {
 			logUnavailable = timedOut
 			if logUnavailable {
@@ -74,7 +74,7 @@
 	return metrics.NodeState{
 		IsReady:             ready,
 		ConfigRevision:      uint64(n.configState.Current().Revision),
-		LogAgeSeconds:       time.Since(n.configFollower.LastReadAt()).Seconds(),
+		LogAgeSeconds:       n.configFollower.ReadAge().Seconds(),
 		MemberCount:         len(n.members.Live()),
 		HeldCallCount:       n.services.admissionPool.HeldCount(),
 		HeldClaimCount:      n.claimManager.State.Len(),
--- a/proof/prove/cold_test.go
+++ b/proof/prove/cold_test.go
@@ -147,7 +147,7 @@
 // the platform's list.
 func (c *leaseCluster) requestExtension(node *leaseNode) {
 	now := time.Now()
-	if now.Sub(node.follower.LastReadAt()) < 3*time.Second || now.Before(node.pausedUntil) {
+	if node.follower.ReadAge() < 3*time.Second || now.Before(node.pausedUntil) {
 		return
 	}
 	live := node.view()
--- a/stream/follower.go
+++ b/stream/follower.go
@@ -69,7 +69,8 @@
 	// OnError, if set, is called after each failed read, Apply or Skip.
 	OnError func(err error)
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// lastReadAt is when the latest successful read was sent, or when Run began.
 	lastReadAt  time.Time
 	hasCaughtUp bool
 	nextRead    chan struct{}
@@ -78,6 +79,9 @@
 // Run follows the stream until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	cfg := f.Settings.withDefaults()
+	f.mu.Lock()
+	f.lastReadAt = time.Now()
+	f.mu.Unlock()
 	backoff := cfg.MinRetryDelay
 	for ctx.Err() == nil {
 		err := f.step(ctx, cfg)
@@ -163,12 +167,15 @@
 	return f.hasCaughtUp
 }
 
-// LastReadAt returns the time when the latest successful read was sent, or the zero
-// time if there was none.
-func (f *Follower) LastReadAt() time.Time {
+// ReadAge returns the time since the latest successful read was sent or, before the first
+// one, since Run began; zero before that.
+func (f *Follower) ReadAge() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lastReadAt
+	if f.lastReadAt.IsZero() {
+		return 0
+	}
+	return time.Since(f.lastReadAt)
 }
 
 // NextRead returns a channel that is closed after the next successful read.
--- a/stream/follower_test.go
+++ b/stream/follower_test.go
@@ -89,7 +89,7 @@
 		time.Sleep(time.Second)
 		log.SetDown(true)
 		time.Sleep(time.Hour)
-		if got := time.Since(f.LastReadAt()); got < 59*time.Minute {
+		if got := f.ReadAge(); got < 59*time.Minute {
 			t.Errorf("last read: got %s ago, want about an hour", got)
 		}
 		log.SetDown(false)
@@ -209,3 +209,23 @@
 		}
 	})
 }
+
+// Before its first read a follower has only just begun: it must not count as without contact
+// for ever, as it would by the zero time.
+func TestReadAgeBeginsWithRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &standin.Log{}
+		log.SetDown(true)
+		f := &stream.Follower{Log: log, Name: "s", Applier: &offsetRecorder{}}
+		if got := f.ReadAge(); got != 0 {
+			t.Errorf("age before the start: got %s, want 0", got)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.Run(ctx)
+		time.Sleep(3 * time.Second)
+		if got, want := f.ReadAge(), 3*time.Second; got != want {
+			t.Errorf("age without a read: got %s, want %s", got, want)
+		}
+	})
+}
