--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -32,7 +32,7 @@
 // GatewayState holds the values of a gateway node's gauges.
 type GatewayState struct {
 	IsReady bool
-	// IsStoreReader reports whether this node reads the store on behalf of all nodes.
+	// IsStoreReader reports whether this node reads a topic of the store for all nodes.
 	IsStoreReader bool
 	// PlanVersion is the version of the active plan, and PlanAgeSeconds how long it has been
 	// active; zero without one.
