--- a/gateway/log.go
+++ b/gateway/log.go
@@ -145,6 +145,16 @@
 func (n *Node) planAgeFields(now time.Time) []zap.Field {
 	return []zap.Field{
 		zap.Int64("plan-age-ms", n.upstreams.active.Load().age(now).Milliseconds()),
-		zap.Int64("operator-age-ms", n.state.markAge(replica.Operator, now).Milliseconds()),
+		n.readAgeField("operator-age-ms", replica.Operator, now),
 	}
 }
+
+// readAgeField returns a log field with the time since the last known read of a topic, which
+// is left out before the first.
+func (n *Node) readAgeField(key string, topic replica.Topic, now time.Time) zap.Field {
+	_, readAt := n.state.readPosition(topic)
+	if readAt.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Int64(key, now.Sub(readAt).Milliseconds())
+}
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -235,8 +235,7 @@
 	n := r.node
 	if !r.isAway {
 		r.isAway = true
-		event.StoreAway.Log(n.logger, zap.Stringer("topic", r.topic), zap.String("cause", eris.Cause(err).Error()),
-			zap.Int64("age-ms", n.state.markAge(r.topic, time.Now()).Milliseconds()))
+		event.StoreAway.Log(n.logger, zap.Stringer("topic", r.topic), zap.String("cause", eris.Cause(err).Error()), n.readAgeField("age-ms", r.topic, time.Now()))
 	}
 	pause.For(ctx, n.storeRetryDelay())
 }
--- a/gateway/refusallog_test.go
+++ b/gateway/refusallog_test.go
@@ -29,6 +29,9 @@
 		}
 		n.upstreams.active.Store(&activeConfig{plan: &Plan{Version: 6}, since: time.Now()})
 		time.Sleep(time.Second)
+		if got := n.readAgeField("operator-age-ms", replica.Operator, time.Now()); got.Type != zapcore.SkipType {
+			t.Errorf("field before the first read: got %v, want none", got)
+		}
 		n.state.applyMark(replica.ReadMark{Topic: replica.Operator, EndOffset: 1}, time.Now())
 		time.Sleep(400 * time.Millisecond)
 		n.recordCallEnd(entry.CallResult{Request: httptest.NewRequest("GET", "/new", nil), Outcome: outcome.NotRun, Reason: outcome.NoService, Status: 404})
