--- a/replica/order.go
+++ b/replica/order.go
@@ -25,14 +25,13 @@
 	return k.latest
 }
 
-// contains reports whether a record is the latest one or the kept one, and would add
-// nothing to it.
+// contains reports whether a record is the latest or the kept one.
 func (k keyState) contains(r Record) bool {
 	return k.latest.contains(r) || k.kept != nil && k.kept.contains(r)
 }
 
-// contains reports whether a record has the position of the stored one and adds nothing: the
-// deletion of a value that is known here or unknown there.
+// contains reports whether a record is the stored one, by its position. A deletion that
+// brings the value that it deleted is news to a copy that lacks this value.
 func (s storedRecord) contains(r Record) bool {
 	if s.Key == "" || comparePosition(r, s.Record) != 0 {
 		return false
