Let one of two readers of the operator's topic stop at once

Cause: a node looked for a reader with a lower ID right after its own read, which had just made it the last reader again; a mark that came while the read waited was forgotten. It looks before it finishes a read now.

--- a/gateway/node_test.go
+++ b/gateway/node_test.go
@@ -352,3 +352,31 @@
 	}
 	<-stopped
 }
+
+// Two nodes that each read the store, since neither knew the other, must become one reader of
+// each topic soon after they are linked, also while their reads wait for a record.
+func TestReadersThatMeetBecomeOne(t *testing.T) {
+	for range 3 {
+		c := newTestCluster(t)
+		c.store.SoleMembers = true
+		c.putPlan(1, "a")
+		c.startTarget("i-1", "a", "east")
+		for i := range 3 {
+			c.startNode("east", c.storeAddress)
+			c.waitFor(waitTimeout, "a ready node", func() bool { return c.isReady(i) })
+		}
+		for i := range c.nodes {
+			for j := range c.nodes {
+				a := c.settings[j].PeerAddress
+				c.nodes[i].AddNodes([]vm.VM{{ID: vm.ID(a), Address: a, Zone: "east", Role: vm.RoleEntry}})
+			}
+		}
+		time.Sleep(3 * time.Second)
+		before := c.store.RequestCount("log-read")
+		const spanSeconds = 4
+		time.Sleep(spanSeconds * time.Second)
+		if got, want := c.store.RequestCount("log-read")-before, 2*spanSeconds+spanSeconds/2; got > want {
+			t.Errorf("reads in %d s: got %d, want at most %d", spanSeconds, got, want)
+		}
+	}
+}
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -56,6 +56,9 @@
 	topic replica.Topic
 	// isAway reports whether the last call failed.
 	isAway bool
+	// isReplaced reports whether a reader with a lower ID was active before the last read
+	// was finished, which made this node the last reader again.
+	isReplaced bool
 }
 
 // run alternates between waiting for its turn to read and reading, until ctx ends.
@@ -86,13 +89,14 @@
 	if err := r.readAll(ctx, 0); err != nil {
 		return err
 	}
+	r.isReplaced = false
 	r.beginTurn(ctx, start)
 	defer r.node.isReading[r.topic].Store(false)
 	for {
 		if !r.pauseBetweenReads(ctx, start) {
 			return ctx.Err()
 		}
-		if r.node.state.hasLowerReader(r.topic, r.node.readerID()) {
+		if r.isReplaced || r.node.state.hasLowerReader(r.topic, r.node.readerID()) {
 			event.ReaderTurn.Log(r.node.logger, zap.Stringer("topic", r.topic), zap.Bool("reading", false))
 			return nil
 		}
@@ -177,6 +181,7 @@
 	}
 	hasMore = !listed && batch.NextOffset < batch.EndOffset && len(batch.Records) > 0
 	if !hasMore {
+		r.isReplaced = n.state.hasLowerReader(r.topic, n.readerID())
 		n.state.finishRead(replica.ReadMark{Topic: r.topic, EndOffset: batch.NextOffset, Reader: n.readerID(), Epoch: batch.Epoch}, readAt)
 	}
 	// The peers need not wait until this node has applied a long plan.
