Name the request and the end of a target in the logs of lost responses

The logs named a call by an id that is new for each attempt of a caller, so that copies of one request could not be counted, and did not tell the end of a process from the loss of one connection. call-failed has the digest of caller, method, host, path, query and body now; after a lost response the node tries the target once, and logs target-ended if its address refuses connections or another process is there. A streamed body is identified by its first 4 KiB. No decision depends on either.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/apricotmount/apricotmount/measuring"
 	"github.com/apricotmount/apricotmount/outcome"
 	"github.com/apricotmount/apricotmount/profile"
+	"github.com/apricotmount/apricotmount/quarantine"
 	"github.com/apricotmount/apricotmount/retry"
 	"github.com/apricotmount/apricotmount/target"
 )
@@ -79,10 +80,19 @@
 	Release()
 }
 
+// Identity identifies the request of a call among those that callers send again.
+type Identity interface {
+	// Digest returns the digest of the request; ok is false if it is not known yet. With
+	// mayRead, it waits for the beginning of the body, and no attempt may have started.
+	Digest(mayRead bool) (d quarantine.Digest, ok bool)
+}
+
 // Call is one call to execute.
 type Call struct {
 	// ID identifies the call in logs; it may be empty.
-	ID       string
+	ID string
+	// Identity, if set, identifies the request.
+	Identity Identity
 	Profile  *profile.Profile
 	Caller   admission.Caller
 	Deadline time.Time
--- a/entry/body.go
+++ b/entry/body.go
@@ -14,7 +14,9 @@
 type body struct {
 	buffered []byte
 	stream   io.ReadCloser
-	length   int64
+	// prefix is the stream too, which keeps its beginning; nil if the body is buffered.
+	prefix *prefixReader
+	length int64
 }
 
 // bufferSpace bounds the total size of the bodies that a node buffers at a time. Many
@@ -42,7 +44,8 @@
 		return &body{}, nil
 	}
 	if r.ContentLength < 0 || r.ContentLength > limit || !mayBuffer(r.ContentLength) {
-		return &body{stream: r.Body, length: r.ContentLength}, nil
+		prefix := &prefixReader{stream: r.Body}
+		return &body{stream: prefix, prefix: prefix, length: r.ContentLength}, nil
 	}
 	buf := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, buf); err != nil {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -240,6 +240,7 @@
 		Allowance:      retry.NewAllowance(min(route.Profile.MaxRetries, parseCount(r.Header, HeaderMaxExtraAttempts, route.Profile.MaxRetries))),
 		BodyReplayable: b.isReplayable(),
 	}
+	call.Identity = &identity{caller: string(call.Caller), inbound: r, body: b}
 	call.Claim, failure = h.claim(r, route, b)
 	in.route, in.call, in.body, in.hops = route, call, b, hops
 	return in, failure
--- /dev/null
+++ b/entry/identity.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/apricotmount/apricotmount/quarantine"
+)
+
+// prefixBytes is the length of the beginning of a streamed body by which its request is
+// identified.
+const prefixBytes = 4 << 10
+
+// prefixReader passes a stream through and keeps its beginning.
+type prefixReader struct {
+	stream io.ReadCloser
+
+	mu     sync.Mutex
+	prefix []byte
+	// peeked holds the bytes that peek has read and Read has not returned yet.
+	peeked []byte
+	atEnd  bool
+}
+
+// Read returns the peeked bytes and then those of the stream.
+func (p *prefixReader) Read(b []byte) (n int, err error) {
+	p.mu.Lock()
+	if len(p.peeked) > 0 {
+		n = copy(b, p.peeked)
+		p.peeked = p.peeked[n:]
+		p.mu.Unlock()
+		return n, nil
+	}
+	p.mu.Unlock()
+	n, err = p.stream.Read(b)
+	p.keep(b[:n], err)
+	return n, err
+}
+
+// Close closes the stream.
+func (p *prefixReader) Close() error {
+	return p.stream.Close()
+}
+
+// keep records what was read from the stream, as far as it belongs to the prefix.
+func (p *prefixReader) keep(b []byte, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.prefix = append(p.prefix, b[:min(len(b), prefixBytes-len(p.prefix))]...)
+	p.atEnd = p.atEnd || err == io.EOF
+}
+
+// peek reads the prefix ahead of Read, which returns it later. It must not run
+// concurrently with Read.
+func (p *prefixReader) peek() {
+	buf := make([]byte, prefixBytes)
+	n, err := io.ReadFull(p.stream, buf)
+	if err == io.ErrUnexpectedEOF {
+		err = io.EOF
+	}
+	p.keep(buf[:n], err)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peeked = buf[:n]
+}
+
+// known returns the prefix; ok is false until it is complete.
+func (p *prefixReader) known() (prefix []byte, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.prefix, p.atEnd || len(p.prefix) == prefixBytes
+}
+
+// identity identifies the request of a call; it implements dispatch.Identity.
+type identity struct {
+	caller  string
+	inbound *http.Request
+	body    *body
+
+	mu     sync.Mutex
+	digest quarantine.Digest
+	isSet  bool
+}
+
+// Digest returns the digest of the request. ok is false if its body is streamed and the
+// beginning has not been read yet. With mayRead, it waits for that; no attempt of the call
+// may have started then.
+func (i *identity) Digest(mayRead bool) (d quarantine.Digest, ok bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.isSet {
+		return i.digest, true
+	}
+	start := i.body.buffered
+	if p := i.body.prefix; p != nil {
+		if mayRead {
+			p.peek()
+		}
+		if start, ok = p.known(); !ok {
+			return quarantine.Digest{}, false
+		}
+	}
+	i.digest = quarantine.Request{
+		Caller: i.caller, Method: i.inbound.Method, Host: hostWithoutPort(i.inbound.Host), URI: i.inbound.URL.RequestURI(),
+		BodyLength: i.body.length, Body: start,
+	}.Digest()
+	i.isSet = true
+	return i.digest, true
+}
--- a/event/event.go
+++ b/event/event.go
@@ -90,7 +90,7 @@
 	CallPlaced   = register(703, "call-placed", zap.InfoLevel, "An attempt of a call was sent to a target; the line holds the forecast, the load report that it is based on and the age of the report.")
 	CallHedged   = register(704, "call-hedged", zap.InfoLevel, "A hedge was sent because an attempt takes longer than forecast.")
 	CallWaits    = register(705, "call-waits", zap.InfoLevel, "No target is forecast to respond in time; the call waits in the node for capacity.")
-	CallFailed   = register(706, "call-failed", zap.InfoLevel, "An attempt ended without a response; the field written states whether any byte of it may have reached the target.")
+	CallFailed   = register(706, "call-failed", zap.InfoLevel, "An attempt ended without a response; the field written states whether any byte of it may have reached the target, and the field request holds a digest of the caller, method, host, path, query and body, which is the same for each copy of the request at every node.")
 	CallHeldBack = register(707, "call-held-back", zap.InfoLevel, "The rate limits that all usable targets name leave no capacity now; the call waits for this node's next turn, or is refused (field refused). The line holds the number of these targets, the sum of their limits and the age of the oldest.")
 	CallDone     = register(700, "call-done", zap.InfoLevel, "A target responded to a call, and its whole response was forwarded.")
 	CallNotRun   = register(701, "call-not-run", zap.InfoLevel, "A call was refused and did not run; the field reason states why.")
@@ -112,6 +112,7 @@
 	TargetUnlimited     = register(409, "target-unlimited", zap.InfoLevel, "A target named no rate limit any more; the field previous holds the last one.")
 	TargetLimitInvalid  = register(411, "target-limit-invalid", zap.WarnLevel, "A target named a rate limit that is no number, negative or infinite; what was in force before stays.")
 	TargetHeaderUnknown = register(412, "target-header-unknown", zap.WarnLevel, "Responses carry a header of the protocol between targets and nodes that this version does not know (field header): it is forwarded to callers and changes nothing here. Logged once for each header and service.")
+	TargetEnded         = register(413, "target-ended", zap.WarnLevel, "The process of a target ended while calls were open at it: after the loss of a response its address refused a new connection or another process answered there. The lines call-failed with the same target name these calls and the digests of their requests.")
 	MeasuringForgone    = register(410, "measuring-forgone", zap.DebugLevel, "A probe failed or was not sent, usually because the probe budget is spent; the field cause states why.")
 )
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -50,7 +50,10 @@
 		fields = append(fields, zap.Bool("late", true))
 	}
 	if d.Kind == dispatch.Failed {
-		fields = append(fields, zap.Stringer("result", d.Result), zap.Bool("written", d.Written))
+		fields = append(fields, zap.Stringer("result", d.Result), zap.Bool("written", d.Written), digestField(c))
+	}
+	if d.Kind == dispatch.Failed && d.Result == target.Broken && d.Written {
+		go n.upstreams.hasEnded(n.ctx, d.Target)
 	}
 	if d.Kind == dispatch.HeldBack {
 		fields = append(fields, turnFields(d)...)
@@ -59,6 +62,19 @@
 	decisionEvents[d.Kind].Log(n.logger, fields...)
 }
 
+// digestField returns a log field with the digest of a call's request, by which copies of it
+// are found. It is left out while the digest is unknown.
+func digestField(c *dispatch.Call) zap.Field {
+	if c.Identity == nil {
+		return zap.Skip()
+	}
+	digest, ok := c.Identity.Digest(false)
+	if !ok {
+		return zap.Skip()
+	}
+	return zap.Stringer("request", digest)
+}
+
 // turnFields returns the log fields of a call that rate limits hold back.
 func turnFields(d dispatch.Decision) []zap.Field {
 	return []zap.Field{
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -61,6 +61,8 @@
 	roundRobins map[string]*weightedRoundRobin
 	// openQueries maps a target to a channel that is closed when its open load query ends.
 	openQueries map[vm.ID]chan struct{}
+
+	endChecks endChecks
 }
 
 // activeConfig is a plan with the state of its services; it is immutable.
--- a/target/notice.go
+++ b/target/notice.go
@@ -1,6 +1,10 @@
 package target
 
-import "time"
+import (
+	"time"
+
+	"github.com/apricotmount/apricotmount/vm"
+)
 
 // A target may say on any response that it is about to stop, and on a refusal for how
 // long it wants no further request from this node. Both hold for the process that said
@@ -43,6 +47,14 @@
 	}
 }
 
+// IsLeaving reports whether a target, or the list for it, has announced its planned stop.
+func (t *Table) IsLeaving(id vm.ID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.find(id)
+	return e != nil && (e.listedLeaving || e.saidLeaving || e.state == Draining || e.state == Leaving)
+}
+
 // clearNotices forgets what the target's former process said about further requests.
 func (e *entry) clearNotices() {
 	e.saidLeaving = false
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -60,6 +60,8 @@
 	// ErrProbeBudget is returned if the probe budget does not allow a probe, which
 	// each new connection needs.
 	ErrProbeBudget = eris.New("the probe budget is exhausted")
+
+	errPoolClosed = eris.New("the pool is closed")
 )
 
 // Observer is notified of load reports and lost connections of a target.
@@ -159,7 +161,7 @@
 	c = newConn(p, nc)
 	if !p.add(c) {
 		c.close()
-		return nil, report, eris.New("the pool is closed")
+		return nil, report, errPoolClosed
 	}
 	report, err = p.sendProbe(ctx, c)
 	if err != nil {
@@ -177,7 +179,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isClosed {
-		return eris.New("the pool is closed")
+		return errPoolClosed
 	}
 	if len(p.all)+p.dialling >= p.limit && !p.evict() {
 		return ErrConnLimit
