Hold back a request that ends each target that runs it

Callers saw payroll pulls lost or refused for half a minute: one request, repeated by its caller at any node, ended 35 processes.

Cause: each node judged a lost answer by the one call alone. The call was sent again, the caller's next copy was a new call, and no node counted what copies of the request had done before or elsewhere.

Why it works: after a lost answer a node finds out whether the process has ended (its address refuses connections or another process is there) and sends the digest of the request and the process to all nodes. A case is a set of ended processes, merged in any order, so all nodes reach the same verdict: with one end no hedge, with two one copy at a time and no repeat, with three none. A copy that completes anywhere refutes the ends before it, so a call beside the harmful one clears itself. A held request gets two trials, 5 s and 60 s after the last end, for good; nodes take turns, so that two rarely take the same.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -147,6 +147,8 @@
 	// Observer, if set, receives the decisions on each call.
 	Observer DecisionObserver
 	Checks   *invariant.Checker
+	// Quarantine, if set, keeps requests that end targets from them.
+	Quarantine Quarantine
 	// RefusalBudget bounds the rate of attempts at another target after a refusal,
 	// for services without an ExtraAttemptBudget; nil means no bound.
 	RefusalBudget *measuring.Budget
@@ -194,18 +196,24 @@
 		return nil, &CallFailure{Outcome: outcome.NotRun, Reason: outcome.DeadlinePassed}
 	}
 	svc.earnTokens()
+	suspect, fail := d.admitSuspect(c)
+	if fail != nil {
+		return nil, fail
+	}
 	permit, reason := svc.Gate.Acquire(ctx, admission.Request{
 		Urgency: c.Profile.Urgency, Caller: c.Caller, Deadline: c.Deadline, MaxWait: c.Profile.QueueTimeout,
 	})
 	if reason != "" {
+		suspect.leave()
 		return nil, &CallFailure{Outcome: outcome.NotRun, Reason: reason}
 	}
-	r := &run{dispatcher: d, service: svc, call: c, sender: s, gatePermit: permit, allowance: c.Allowance, arrivedAt: now}
+	r := &run{dispatcher: d, service: svc, call: c, sender: s, gatePermit: permit, allowance: c.Allowance, arrivedAt: now, suspect: suspect}
 	resp, fail := r.execute(ctx)
 	r.releaseLateCall(false)
 	r.leaveTurnQueue()
 	if fail != nil {
 		permit.Release(false)
+		r.suspect.leave()
 		r.checkFailure(fail)
 	}
 	return resp, fail
@@ -227,6 +235,19 @@
 	r.service.Table.Finish(c.reservation, now, result, c.Response.Report())
 	r.gatePermit.Release(result == target.Answered || result == target.ServerFailed)
 	c.cancel()
+	switch result {
+	case target.Answered, target.ServerFailed:
+		r.suspect.recordCompletion()
+		r.suspect.leave()
+	case target.Broken:
+		// The caller need not wait until it is known why the response broke off.
+		go func() {
+			r.suspect.recordLoss(context.Background(), c.reservation)
+			r.suspect.leave()
+		}()
+	default:
+		r.suspect.leave()
+	}
 }
 
 // earnTokens adds the tokens that a new call earns to the budgets for extra
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -87,6 +87,7 @@
 	}
 	r.dispatcher.countExtraAttempt(outcome.RetryServerFailed)
 	r.mayHaveRun = true
+	r.suspect.recordCompletion()
 	resp.Response.Discard()
 	resp.cancel()
 	r.service.Table.Finish(resp.reservation, time.Now(), target.ServerFailed, resp.Response.Report())
@@ -153,6 +154,8 @@
 // and to the call's allowance. It reports whether the retry may be made.
 func (r *run) chargeRetry() bool {
 	switch {
+	case !r.suspect.mayRepeat():
+		r.dispatcher.countExtraAttempt(outcome.ForgoneSuspected)
 	case !r.call.Profile.Idempotent:
 		r.dispatcher.countExtraAttempt(outcome.ForgoneNotIdempotent)
 	case !r.call.BodyReplayable:
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -17,7 +17,7 @@
 	firstCtx, cancel := context.WithCancel(ctx)
 	h := r.scheduleHedge(ctx, cancel, reservation)
 	firstResponse, firstFailure := r.attempt(firstCtx, reservation, r.allowance.DownstreamLimit())
-	resp, failure := r.resolveHedge(h, reservation, firstResponse, firstFailure)
+	resp, failure := r.resolveHedge(ctx, h, reservation, firstResponse, firstFailure)
 	if h.hasSpentToken() && !r.allowance.Spend() {
 		r.dispatcher.countExtraAttempt(outcome.ForgoneNoAllowance)
 	}
@@ -55,11 +55,11 @@
 }
 
 // maySend is the last check before the first byte is written. It reports whether
-// the deadline has not passed, the target still accepts work and the claim, if any,
-// could be used.
+// the deadline has not passed, the request is not held, the target still accepts work and
+// the claim, if any, could be used.
 func (r *run) maySend(reservation target.Reservation) bool {
 	now := time.Now()
-	if !now.Before(r.call.Deadline) || !r.service.Table.CanSend(reservation, now) {
+	if !now.Before(r.call.Deadline) || r.suspect.isHeld() || !r.service.Table.CanSend(reservation, now) {
 		return false
 	}
 	if r.call.Claim == nil {
@@ -71,7 +71,7 @@
 
 // resolveHedge combines the results of the first attempt and its hedge into one
 // result and records failures.
-func (r *run) resolveHedge(h *hedge, reservation target.Reservation, response Response, failure *AttemptFailure) (*CallResponse, *AttemptFailure) {
+func (r *run) resolveHedge(ctx context.Context, h *hedge, reservation target.Reservation, response Response, failure *AttemptFailure) (*CallResponse, *AttemptFailure) {
 	now := time.Now()
 	if failure == nil {
 		if h.stop() {
@@ -88,17 +88,20 @@
 		r.dispatcher.countExtraAttempt(outcome.RetryHedgeWon)
 		return r.callResponse(hedged.response, hedged.reservation), nil
 	}
-	r.recordFailure(reservation, failure)
+	r.recordFailure(ctx, reservation, failure)
 	if f := h.failure(); f != nil {
-		r.recordFailure(h.reservation, f)
+		r.recordFailure(ctx, h.reservation, f)
 	}
 	return nil, failure
 }
 
 // recordFailure records a failed attempt in the state of the call.
-func (r *run) recordFailure(reservation target.Reservation, f *AttemptFailure) {
+func (r *run) recordFailure(ctx context.Context, reservation target.Reservation, f *AttemptFailure) {
 	r.notifyDecision(Failed, reservation, f)
 	r.recordPossibleRun(f)
+	if f.Written && f.Result == target.Broken {
+		r.suspect.recordLoss(ctx, reservation)
+	}
 	r.allowance.ChargeDownstream(f.ExtraAttempts)
 	r.excluded = append(r.excluded, reservation.Ref.ID)
 	notRun := !f.Written || f.Result == target.Refused
@@ -142,7 +145,7 @@
 // scheduleHedge schedules a hedge after the hedge delay, or returns nil if none is
 // allowed.
 func (r *run) scheduleHedge(ctx context.Context, cancelFirst context.CancelFunc, first target.Reservation) *hedge {
-	if !r.call.Profile.Hedge || !r.call.Profile.Idempotent || !r.call.BodyReplayable || r.allowance.Remaining() < 1 {
+	if !r.call.Profile.Hedge || !r.call.Profile.Idempotent || !r.call.BodyReplayable || r.allowance.Remaining() < 1 || !r.suspect.mayHedge() {
 		return nil
 	}
 	delay, ok := r.hedgeDelay(first)
@@ -215,6 +218,10 @@
 func (h *hedge) send(ctx context.Context) (reservation target.Reservation, response Response, failure *AttemptFailure) {
 	excluded := append([]vm.ID{h.firstReservation.Ref.ID}, h.run.excluded...)
 	for i := range maxAttemptsPerRound {
+		if !h.run.suspect.mayHedge() {
+			h.run.dispatcher.countExtraAttempt(outcome.ForgoneSuspected)
+			return reservation, nil, failure
+		}
 		opts := target.PickOptions{Exclude: excluded, RequireFreeSlot: true, Objective: h.run.call.Profile.LatencyObjective}
 		h.queryLoad(ctx, opts)
 		next, status := h.run.service.Table.PickWithOptions(time.Now(), opts)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -43,6 +43,7 @@
 	// turnPlace is the call's place among those that wait for a turn at a target with a
 	// rate limit; nil if it does not wait for one.
 	turnPlace *turnPlace
+	suspect   suspect
 	// lastLossReason is the reason recorded for the most recent lost response, or
 	// "" if none was lost.
 	lastLossReason outcome.Reason
@@ -149,6 +150,9 @@
 	if ctx.Err() != nil {
 		return outcome.CallerGone
 	}
+	if r.suspect.isHeld() {
+		return outcome.Quarantined
+	}
 	return ""
 }
 
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -154,7 +154,9 @@
 
 // CallResult describes a finished call, for the log.
 type CallResult struct {
-	Request       *http.Request
+	Request *http.Request
+	// Call is nil if the request was rejected before it became a call.
+	Call          *dispatch.Call
 	Service       service.Name
 	Outcome       outcome.Outcome
 	Reason        outcome.Reason
@@ -172,7 +174,7 @@
 	if h.OnCallEnd == nil {
 		return
 	}
-	e.Request = r
+	e.Request, e.Call = r, in.call
 	if in.route.Service != nil {
 		e.Service = in.route.Service.Name
 	}
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -175,6 +175,7 @@
 	if got := ct.runsAfter(3, contactTime); got > 3 {
 		t.Errorf("runs of the harmful request later than 3 s after the third crash: got %d of %d, want at most 3", got, ct.runCount())
 	}
+	t.Logf("%d runs of the harmful request, %d of %d calls beside it served", ct.runCount(), served, sent)
 	if min := sent * 95 / 100; served < min {
 		t.Errorf("calls served beside it: got %d of %d, want at least %d", served, sent, min)
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -52,9 +52,6 @@
 	if d.Kind == dispatch.Failed {
 		fields = append(fields, zap.Stringer("result", d.Result), zap.Bool("written", d.Written), digestField(c))
 	}
-	if d.Kind == dispatch.Failed && d.Result == target.Broken && d.Written {
-		go n.upstreams.hasEnded(n.ctx, d.Target)
-	}
 	if d.Kind == dispatch.HeldBack {
 		fields = append(fields, turnFields(d)...)
 	}
@@ -150,6 +147,9 @@
 	if e.Service != "" {
 		n.gatewayMetrics.RecordCall(e.Service, e.Outcome, e.TotalDuration)
 	}
+	if e.Reason == outcome.Quarantined {
+		fields = append(fields, digestField(e.Call))
+	}
 	if e.Reason == outcome.NoService {
 		fields = append(fields, n.planAgeFields(time.Now())...)
 	}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -23,6 +23,7 @@
 	"github.com/apricotmount/apricotmount/metrics"
 	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/peer"
+	"github.com/apricotmount/apricotmount/quarantine"
 	"github.com/apricotmount/apricotmount/replica"
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/vm"
@@ -63,6 +64,7 @@
 	upstreams  *upstreams
 	handler    *entry.Handler
 	hub        *peer.Hub
+	quarantine *quarantine.Guard
 
 	servers      []*listener.Server
 	callerServer *listener.Server
@@ -119,12 +121,13 @@
 	}}
 	n.state = newNodeState(d.Decoder, n.self, n.logger)
 	n.upstreams = newUpstreams(n)
+	n.quarantine = &quarantine.Guard{Fleet: quarantineFleet{n}}
 	n.gatewayMetrics = metrics.NewGateway(d.Metrics.Scope)
 	n.callMetrics = metrics.NewCalls(d.Metrics.Scope)
 	n.handler = &entry.Handler{
 		Directory:     n.upstreams,
 		Pools:         n.upstreams,
-		Dispatcher:    &dispatch.Dispatcher{Checks: n.invariants, ExtraAttemptCounter: n.callMetrics, Observer: n},
+		Dispatcher:    &dispatch.Dispatcher{Checks: n.invariants, ExtraAttemptCounter: n.callMetrics, Observer: n, Quarantine: n.quarantine},
 		Metrics:       n.callMetrics,
 		Settings:      n.entrySettings,
 		OnMisdirected: n.upstreams.handleMisdirected,
@@ -208,6 +211,7 @@
 		n.upstreams.closeIdleConns(time.Now())
 		n.closeIdleCallerConns(time.Now())
 		n.applyState()
+		n.quarantine.Ledger.Expire(time.Now())
 		n.logDroppedLines()
 		n.gatewayMetrics.UpdateGauges(n.gaugeValues(time.Now()))
 	}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -29,6 +29,7 @@
 	NoTarget          Reason = "no-target"
 	OnlyColdTargets   Reason = "only-cold-targets"
 	TargetsRefused    Reason = "targets-refused"
+	Quarantined       Reason = "quarantined"     // the request ended the targets that ran it
 	TargetsLimited    Reason = "targets-limited" // the targets' rate limits leave no capacity in time
 	ConnectFailed     Reason = "connect-failed"
 	KeyMissing        Reason = "key-missing"
@@ -58,7 +59,7 @@
 // NotRunReasons lists all reasons for the outcome NotRun.
 var NotRunReasons = []Reason{
 	NoService, BadDeadline, DeadlinePassed, DeadlineTooClose, TooDeep, QueueFull, QueueTimeout,
-	DisplacedByUrgent, NodeFull, NoTarget, OnlyColdTargets, TargetsRefused, TargetsLimited, ConnectFailed, KeyMissing,
+	DisplacedByUrgent, NodeFull, NoTarget, OnlyColdTargets, TargetsRefused, TargetsLimited, Quarantined, ConnectFailed, KeyMissing,
 	KeyInvalid, KeyReused, KeyTooOld, ClaimUnavailable, ClaimsBehind, ClaimLapsed, CallerGone,
 	UpgradeRefused, BodyBroken, NoPlan, BodyTooLong, HeadersTooLong,
 }
@@ -87,7 +88,7 @@
 	switch r {
 	case QueueFull, QueueTimeout, DeadlineTooClose, DisplacedByUrgent, NodeFull, TargetsRefused, TargetsLimited, ConnectFailed, OnlyColdTargets:
 		return Advice{CanRetry: true, RetryAfter: shortRetryAfter}
-	case NoTarget, ClaimUnavailable, ClaimsBehind, ClaimLapsed:
+	case NoTarget, Quarantined, ClaimUnavailable, ClaimsBehind, ClaimLapsed:
 		return Advice{CanRetry: true, RetryAfter: longRetryAfter}
 	case DeadlinePassed, CallerGone, BodyBroken:
 		return Advice{CanRetry: true}
@@ -115,12 +116,13 @@
 	ForgoneBodyConsumed  ExtraAttemptReason = "forgone-body-consumed"
 	ForgoneDeadline      ExtraAttemptReason = "forgone-deadline"
 	ForgoneTargetsBusy   ExtraAttemptReason = "forgone-targets-busy"
+	ForgoneSuspected     ExtraAttemptReason = "forgone-suspected" // the request may end the targets that run it
 )
 
 // ExtraAttemptReasons lists all reasons for extra attempts made or skipped.
 var ExtraAttemptReasons = []ExtraAttemptReason{
 	RetryConnectFailed, RetryTargetRefused, RetryAnswerLost, RetryAttemptTimeout, RetryServerFailed, RetryHedge, RetryHedgeWon,
-	ForgoneNoTokens, ForgoneNoAllowance, ForgoneNotIdempotent, ForgoneBodyConsumed, ForgoneDeadline, ForgoneTargetsBusy,
+	ForgoneNoTokens, ForgoneNoAllowance, ForgoneNotIdempotent, ForgoneBodyConsumed, ForgoneDeadline, ForgoneTargetsBusy, ForgoneSuspected,
 }
 
 // Failure is an outcome other than Done, with its reason. The zero value means that
--- a/peer/message.go
+++ b/peer/message.go
@@ -117,6 +117,8 @@
 	Limits []TargetLimit `cbor:"14,keyasint,omitempty"`
 	// Left are nodes that have begun a planned stop.
 	Left []vm.ID `cbor:"15,keyasint,omitempty"`
+	// Suspects are requests that may end the targets that run them.
+	Suspects []Suspect `cbor:"16,keyasint,omitempty"`
 }
 
 // Split divides the message into parts with at most maxPartRecords records and
@@ -178,7 +180,7 @@
 	if err := codec.Decode(b, &m); err != nil {
 		return Message{}, err
 	}
-	if len(m.Observations) > maxObservations || len(m.Limits) > maxObservations || len(m.Entries) > maxEntries || len(m.Withdrawals) > maxObservations || len(m.Records) > maxEntries || len(m.Nodes) > maxEntries || len(m.Left) > maxEntries {
+	if len(m.Observations) > maxObservations || len(m.Limits) > maxObservations || len(m.Entries) > maxEntries || len(m.Withdrawals) > maxObservations || len(m.Records) > maxEntries || len(m.Nodes) > maxEntries || len(m.Left) > maxEntries || len(m.Suspects) > maxEntries {
 		return Message{}, eris.New("a list is too long")
 	}
 	return m, nil
--- /dev/null
+++ b/quarantine/guard.go
@@ -0,0 +1,111 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/apricotmount/apricotmount/target"
+	"github.com/apricotmount/apricotmount/vm"
+)
+
+// Fleet is what a Guard needs of its node.
+type Fleet interface {
+	// Self returns the ID of the node, and NodeIDs those of all nodes of the fleet.
+	Self() vm.ID
+	NodeIDs() []vm.ID
+	// Process returns the process at which an attempt was open.
+	Process(r target.Reservation) Process
+	// HasEnded reports whether that process has ended other than by a planned stop. It may
+	// wait for a connection.
+	HasEnded(ctx context.Context, r target.Reservation) bool
+	// Announce sends cases to the other nodes. It must not block.
+	Announce(cases []Case)
+	// CaseChanged is called for each case in which something is new; isOwn reports whether
+	// this node has seen it itself. It must not block.
+	CaseChanged(c Case, isOwn bool)
+}
+
+// Guard applies the evidence of the fleet to the calls of one node. Its methods are safe for
+// concurrent use.
+type Guard struct {
+	Fleet  Fleet
+	Ledger Ledger
+}
+
+// IsEmpty reports whether no request is suspected.
+func (g *Guard) IsEmpty() bool {
+	return g.Ledger.IsEmpty()
+}
+
+// Admit decides on a copy of a request that has arrived. Unless it is refused, Leave must be
+// called when the copy has ended.
+func (g *Guard) Admit(d Digest) Admission {
+	a := g.Ledger.Admit(d, time.Now(), func(trialCount int) time.Duration {
+		return TrialTurn(g.Fleet.Self(), g.Fleet.NodeIDs(), d, trialCount)
+	})
+	if c, ok := g.Ledger.Case(d); ok && a.IsTrial {
+		g.publish([]Case{c})
+	}
+	return a
+}
+
+// Leave ends a copy that Admit has admitted.
+func (g *Guard) Leave(d Digest) {
+	g.Ledger.Leave(d)
+}
+
+// Verdict returns the current verdict on a request.
+func (g *Guard) Verdict(d Digest) Verdict {
+	if g.Ledger.IsEmpty() {
+		return Free
+	}
+	return g.Ledger.Verdict(d)
+}
+
+// RecordLoss records that the connection of an attempt broke after the request was written.
+// It returns once it is known whether the process has ended.
+func (g *Guard) RecordLoss(ctx context.Context, d Digest, r target.Reservation) {
+	lostAt := time.Now()
+	if !g.Fleet.HasEnded(ctx, r) {
+		return
+	}
+	g.publish(g.Ledger.RecordEnd(d, End{Process: g.Fleet.Process(r), At: lostAt, Witness: g.Fleet.Self()}))
+}
+
+// RecordCompletion records that a copy of a request was completed.
+func (g *Guard) RecordCompletion(d Digest) {
+	if g.Ledger.IsEmpty() {
+		return
+	}
+	g.publish(g.Ledger.RecordCompletion(d, time.Now()))
+}
+
+// Release clears a request at the word of an operator, and reports whether it was suspected.
+func (g *Guard) Release(d Digest) bool {
+	news := g.Ledger.Release(d, time.Now())
+	g.publish(news)
+	return len(news) > 0
+}
+
+// publish announces cases in which this node has seen something new.
+func (g *Guard) publish(news []Case) {
+	if len(news) == 0 {
+		return
+	}
+	for _, c := range news {
+		g.Fleet.CaseChanged(c, true)
+	}
+	g.Fleet.Announce(news)
+}
+
+// Receive adds what another node knows, and returns what is new for the others.
+func (g *Guard) Receive(cases []Case) (news []Case) {
+	if len(cases) == 0 {
+		return nil
+	}
+	news = g.Ledger.Merge(cases, time.Now())
+	for _, c := range news {
+		g.Fleet.CaseChanged(c, false)
+	}
+	return news
+}
--- /dev/null
+++ b/quarantine/ledger.go
@@ -0,0 +1,255 @@
+package quarantine
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// maxCases bounds the number of cases that a ledger holds.
+const maxCases = 4096
+
+// Ledger holds the cases that a node knows. Its zero value is empty and ready to use; its
+// methods are safe for concurrent use.
+type Ledger struct {
+	count atomic.Int64
+
+	mu    sync.Mutex
+	cases map[Digest]*openCase
+}
+
+// openCase is a case with the copies of its request that this node has open.
+type openCase struct {
+	Case
+	openCopies int
+}
+
+// IsEmpty reports whether no request is suspected, so that digests need not be computed.
+func (l *Ledger) IsEmpty() bool {
+	return l.count.Load() == 0
+}
+
+// Admission states how a copy of a request may be sent.
+type Admission struct {
+	Verdict Verdict
+	// IsTrial reports whether the copy is a trial of a held request.
+	IsTrial bool
+	// IsRefused reports whether the copy may not be sent now. RetryAfter is the time after
+	// which one may be.
+	IsRefused  bool
+	RetryAfter time.Duration
+}
+
+// MayRepeat reports whether the call may be sent again after a process ended under it.
+func (a Admission) MayRepeat() bool {
+	return !a.IsTrial && a.Verdict < Suspected
+}
+
+const (
+	// copyRetryAfter is the time after which a copy may come back that was refused because
+	// another one is open.
+	copyRetryAfter = time.Second
+	// heldRetryAfter is the time after which a copy of a request may come back that is held
+	// until an operator releases it.
+	heldRetryAfter = 5 * time.Minute
+)
+
+// Admit decides on a copy that has just arrived. turn is the result of TrialTurn for the
+// number of trials. Unless the copy is refused, Leave must be called when it has ended.
+func (l *Ledger) Admit(d Digest, now time.Time, turn func(trialCount int) time.Duration) (a Admission) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.cases[d]
+	if c == nil {
+		return Admission{}
+	}
+	a.Verdict = c.Verdict()
+	switch a.Verdict {
+	case Suspected:
+		a.IsRefused, a.RetryAfter = c.openCopies > 0, copyRetryAfter
+	case Held:
+		remaining, hasTrial := c.untilTrial(now)
+		a.IsTrial = hasTrial && c.openCopies == 0 && remaining+turn(c.TrialCount) <= 0
+		a.IsRefused, a.RetryAfter = !a.IsTrial, heldRetryAfter
+		if hasTrial {
+			a.RetryAfter = max(remaining, copyRetryAfter)
+		}
+	}
+	if a.IsRefused {
+		return a
+	}
+	if a.IsTrial {
+		c.TrialCount++
+	}
+	c.openCopies++
+	return a
+}
+
+// Leave ends a copy that Admit has admitted.
+func (l *Ledger) Leave(d Digest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.cases[d]; c != nil && c.openCopies > 0 {
+		c.openCopies--
+	}
+}
+
+// Verdict returns the current verdict on a request.
+func (l *Ledger) Verdict(d Digest) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.cases[d]; c != nil {
+		return c.Verdict()
+	}
+	return Free
+}
+
+// Case returns the case of a request; ok is false if there is none.
+func (l *Ledger) Case(d Digest) (c Case, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.cases[d]
+	if known == nil {
+		return Case{}, false
+	}
+	return known.clone(), true
+}
+
+// RecordEnd records that a process ended while a copy of a request was open at it. If that
+// was not known, it returns the case to send to the other nodes.
+func (l *Ledger) RecordEnd(d Digest, e End) (news []Case) {
+	return l.Merge([]Case{{Digest: d, Ends: []End{e}}}, e.At)
+}
+
+// RecordCompletion records that a copy of a request was completed. If that clears it, it
+// returns the case to send to the other nodes.
+func (l *Ledger) RecordCompletion(d Digest, now time.Time) (news []Case) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.cases[d]
+	if c == nil || !c.complete(now) {
+		return nil
+	}
+	return []Case{c.clone()}
+}
+
+// Release clears a request at the word of an operator. It returns the case to send to the
+// other nodes, or nothing if the request was not suspected.
+func (l *Ledger) Release(d Digest, now time.Time) (news []Case) {
+	return l.RecordCompletion(d, now)
+}
+
+// Merge adds what other nodes know, and returns the cases in which anything was new.
+func (l *Ledger) Merge(cases []Case, now time.Time) (news []Case) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, received := range cases {
+		if received.isExpired(now) {
+			continue
+		}
+		c := l.cases[received.Digest]
+		isNew := c == nil
+		if isNew {
+			c = l.addCase(received.Digest, now)
+		}
+		if c.merge(received) || isNew {
+			news = append(news, c.clone())
+		}
+	}
+	return news
+}
+
+// merge adds what another node knows, and reports whether anything was new. A completion
+// is new only if it refutes an end, so that the completions of a popular call are not passed
+// on and on.
+func (c *openCase) merge(received Case) (hasNew bool) {
+	hasNew = c.complete(received.CompletedAt)
+	for _, e := range received.Ends {
+		hasNew = c.addEnd(e) || hasNew
+	}
+	if received.TrialCount > c.TrialCount {
+		c.TrialCount = received.TrialCount
+		hasNew = true
+	}
+	return hasNew
+}
+
+// addCase adds an empty case, in place of another one if there are too many. l.mu must be
+// held.
+func (l *Ledger) addCase(d Digest, now time.Time) *openCase {
+	if l.cases == nil {
+		l.cases = map[Digest]*openCase{}
+	}
+	if len(l.cases) >= maxCases {
+		l.evict(now)
+	}
+	c := &openCase{Case: Case{Digest: d}}
+	l.cases[d] = c
+	l.count.Store(int64(len(l.cases)))
+	return c
+}
+
+// evict removes a case: of those with the lowest verdict, the one whose last process ended
+// first. Held requests stay until all cases are held. l.mu must be held.
+func (l *Ledger) evict(now time.Time) {
+	l.expire(now)
+	if len(l.cases) < maxCases {
+		return
+	}
+	var victim *openCase
+	for _, c := range l.cases {
+		if victim == nil || c.Verdict() < victim.Verdict() || c.Verdict() == victim.Verdict() && c.lastEndAt().Before(victim.lastEndAt()) {
+			victim = c
+		}
+	}
+	delete(l.cases, victim.Digest)
+}
+
+// expire removes the cases that can be forgotten. l.mu must be held.
+func (l *Ledger) expire(now time.Time) {
+	for d, c := range l.cases {
+		if c.openCopies == 0 && c.isExpired(now) {
+			delete(l.cases, d)
+		}
+	}
+	l.count.Store(int64(len(l.cases)))
+}
+
+// Expire removes the cases that can be forgotten. It should be called regularly.
+func (l *Ledger) Expire(now time.Time) {
+	if l.IsEmpty() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+}
+
+// Cases returns all cases, those with the latest end first.
+func (l *Ledger) Cases() (cases []Case) {
+	if l.IsEmpty() {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.cases {
+		cases = append(cases, c.clone())
+	}
+	sortCases(cases)
+	return cases
+}
+
+// HeldCount returns the number of requests that are held.
+func (l *Ledger) HeldCount() (n int) {
+	if l.IsEmpty() {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.cases {
+		if c.Verdict() == Held {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/quarantine/ledger_test.go
@@ -0,0 +1,206 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apricotmount/apricotmount/vm"
+)
+
+var testEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testDigest(n int) Digest {
+	return Request{URI: fmt.Sprint("/", n)}.Digest()
+}
+
+func testEnd(target string, at time.Time) End {
+	return End{Process: Process{Target: vm.ID(target)}, At: at, Witness: "node"}
+}
+
+// noTurn lets a node take a trial at once.
+func noTurn(int) time.Duration { return 0 }
+
+// holdAt records three ends of distinct processes at the given time.
+func holdAt(l *Ledger, d Digest, at time.Time) {
+	for i := range 3 {
+		l.RecordEnd(d, testEnd(fmt.Sprint("i-", i), at))
+	}
+}
+
+func TestRequestIsHeldAfterThreeDistinctProcessesEnded(t *testing.T) {
+	l, d := &Ledger{}, testDigest(1)
+	for i, want := range []Verdict{Watched, Suspected, Held} {
+		end := testEnd(fmt.Sprint("i-", i), testEpoch)
+		if news := l.RecordEnd(d, end); len(news) != 1 {
+			t.Errorf("news of end %d: got %d cases, want 1", i, len(news))
+		}
+		if news := l.RecordEnd(d, end); len(news) != 0 {
+			t.Errorf("news of the same end again: got %d cases, want none", len(news))
+		}
+		if got := l.Verdict(d); got != want {
+			t.Errorf("verdict after %d ends: got %s, want %s", i+1, got, want)
+		}
+	}
+	if got := l.Verdict(testDigest(2)); got != Free {
+		t.Errorf("verdict on another request: got %s, want free", got)
+	}
+}
+
+func TestCompletionClearsRequestAndOutlivesOlderEnds(t *testing.T) {
+	l, d := &Ledger{}, testDigest(1)
+	holdAt(l, d, testEpoch)
+	if news := l.RecordCompletion(d, testEpoch.Add(time.Second)); len(news) != 1 {
+		t.Errorf("news of the completion: got %d cases, want 1", len(news))
+	}
+	if got := l.Verdict(d); got != Free {
+		t.Errorf("verdict after a completion: got %s, want free", got)
+	}
+	l.RecordEnd(d, testEnd("i-9", testEpoch.Add(time.Second/2)))
+	if got := l.Verdict(d); got != Free {
+		t.Errorf("verdict after an end before the completion: got %s, want free", got)
+	}
+	l.RecordEnd(d, testEnd("i-9", testEpoch.Add(2*time.Second)))
+	if got := l.Verdict(d); got != Watched {
+		t.Errorf("verdict after an end behind the completion: got %s, want watched", got)
+	}
+}
+
+// Three nodes each see one end. Whatever the order of the messages, all reach one verdict.
+func TestNodesThatSawOneEndEachHoldRequestTogether(t *testing.T) {
+	d := testDigest(1)
+	ledgers := [3]*Ledger{{}, {}, {}}
+	var sent [3][]Case
+	for i, l := range ledgers {
+		sent[i] = l.RecordEnd(d, testEnd(fmt.Sprint("i-", i), testEpoch))
+	}
+	for i, l := range ledgers {
+		for offset := 1; offset < 3; offset++ {
+			l.Merge(sent[(i+offset)%3], testEpoch)
+		}
+		if got := l.Verdict(d); got != Held {
+			t.Errorf("verdict at node %d: got %s, want held", i, got)
+		}
+	}
+}
+
+// A message that holds nothing new is not sent on, also if the ages in it were rounded.
+func TestKnownCaseIsNoNews(t *testing.T) {
+	l, d := &Ledger{}, testDigest(1)
+	holdAt(l, d, testEpoch)
+	c, _ := l.Case(d)
+	for i := range c.Ends {
+		c.Ends[i].At = c.Ends[i].At.Add(3 * time.Millisecond)
+	}
+	if news := l.Merge([]Case{c}, testEpoch); len(news) != 0 {
+		t.Errorf("news of a known case: got %d, want none", len(news))
+	}
+	cleared := l.RecordCompletion(d, testEpoch.Add(time.Second))
+	cleared[0].CompletedAt = cleared[0].CompletedAt.Add(3 * time.Millisecond)
+	if news := l.Merge(cleared, testEpoch.Add(time.Second)); len(news) != 0 {
+		t.Errorf("news of a known completion: got %d, want none", len(news))
+	}
+}
+
+func TestSuspectedRequestRunsOnceAtATime(t *testing.T) {
+	l, d := &Ledger{}, testDigest(1)
+	l.RecordEnd(d, testEnd("i-1", testEpoch))
+	l.RecordEnd(d, testEnd("i-2", testEpoch))
+	if a := l.Admit(d, testEpoch, noTurn); a.IsRefused || a.MayRepeat() {
+		t.Errorf("first copy: got %+v, want one that is admitted and not repeated", a)
+	}
+	if a := l.Admit(d, testEpoch, noTurn); !a.IsRefused || a.RetryAfter <= 0 {
+		t.Errorf("copy beside the first: got %+v, want one that is refused for a time", a)
+	}
+	l.Leave(d)
+	if a := l.Admit(d, testEpoch, noTurn); a.IsRefused {
+		t.Errorf("copy after the first: got %+v, want one that is admitted", a)
+	}
+}
+
+// Over a day with a copy each 100 ms, a request that ends each target gets two trials.
+func TestHarmfulRequestGetsTwoTrials(t *testing.T) {
+	l, d := &Ledger{}, testDigest(1)
+	holdAt(l, d, testEpoch)
+	trials := 0
+	for now := testEpoch; now.Sub(testEpoch) < time.Hour; now = now.Add(100 * time.Millisecond) {
+		a := l.Admit(d, now, noTurn)
+		if a.IsRefused {
+			continue
+		}
+		if !a.IsTrial {
+			t.Fatalf("after %s: got a copy that is no trial, want none", now.Sub(testEpoch))
+		}
+		trials++
+		l.Leave(d)
+		l.RecordEnd(d, testEnd(fmt.Sprint("trial-", trials), now))
+	}
+	if trials != 2 {
+		t.Errorf("trials: got %d, want 2", trials)
+	}
+}
+
+func TestTrialTakenByOneNodeIsNotTakenByOthers(t *testing.T) {
+	first, second, d := &Ledger{}, &Ledger{}, testDigest(1)
+	holdAt(first, d, testEpoch)
+	holdAt(second, d, testEpoch)
+	now := testEpoch.Add(time.Minute)
+	if a := first.Admit(d, now, noTurn); !a.IsTrial {
+		t.Fatalf("first node: got %+v, want a trial", a)
+	}
+	c, _ := first.Case(d)
+	second.Merge([]Case{c}, now)
+	if a := second.Admit(d, testEpoch.Add(trialDelays[0]), noTurn); a.IsTrial {
+		t.Errorf("second node: got %+v, want no trial", a)
+	}
+}
+
+func TestTrialTurnsOfFleetDiffer(t *testing.T) {
+	var fleet []vm.ID
+	for i := range 17 {
+		fleet = append(fleet, vm.ID(fmt.Sprint("node-", i)))
+	}
+	seen := map[time.Duration]bool{}
+	for _, id := range fleet {
+		turn := TrialTurn(id, fleet, testDigest(1), 0)
+		if seen[turn] || turn < 0 || turn > maxTrialSpread {
+			t.Errorf("turn of %s: got %s, want one of its own up to %s", id, turn, maxTrialSpread)
+		}
+		seen[turn] = true
+	}
+}
+
+// A caller with thousands of harmless and harmful requests does not free a held one.
+func TestManyCasesDoNotFreeHeldRequest(t *testing.T) {
+	l, d := &Ledger{}, testDigest(-1)
+	holdAt(l, d, testEpoch)
+	for i := range 2 * maxCases {
+		l.RecordEnd(testDigest(i), testEnd("i-1", testEpoch.Add(time.Second)))
+	}
+	if got := len(l.Cases()); got > maxCases {
+		t.Errorf("cases: got %d, want at most %d", got, maxCases)
+	}
+	if got := l.Verdict(d); got != Held {
+		t.Errorf("verdict on the held request: got %s, want held", got)
+	}
+}
+
+func TestCasesExpire(t *testing.T) {
+	l, held, suspected, cleared := &Ledger{}, testDigest(1), testDigest(2), testDigest(3)
+	holdAt(l, held, testEpoch)
+	l.RecordEnd(suspected, testEnd("i-1", testEpoch))
+	l.RecordEnd(cleared, testEnd("i-1", testEpoch))
+	l.RecordCompletion(cleared, testEpoch.Add(time.Second))
+	l.Expire(testEpoch.Add(time.Minute))
+	if got := len(l.Cases()); got != 2 {
+		t.Errorf("cases after a minute: got %d, want 2", got)
+	}
+	l.Expire(testEpoch.Add(time.Hour))
+	if got := l.Verdict(held); got != Held || len(l.Cases()) != 1 {
+		t.Errorf("after an hour: got verdict %s and %d cases, want held and 1", got, len(l.Cases()))
+	}
+	l.Expire(testEpoch.Add(heldRetention + time.Second))
+	if !l.IsEmpty() {
+		t.Error("after the retention: got cases, want none")
+	}
+}
--- a/target/reservation.go
+++ b/target/reservation.go
@@ -42,6 +42,17 @@
 	hasTurn bool
 }
 
+// Incarnation returns the incarnation of the listed VM that the attempt was reserved for;
+// zero if unknown.
+func (r Reservation) Incarnation() int64 {
+	return r.incarnation
+}
+
+// Instance returns the instance that the attempt was reserved for; empty if unknown.
+func (r Reservation) Instance() Instance {
+	return r.instance
+}
+
 // withForecast adds the forecast of candidate i, and the report behind it, to a
 // reservation. t.mu must be held.
 func (t *Table) withForecast(reservation Reservation, i int, now time.Time) Reservation {
