Identify a request by what targets receive of it

Cause: the digest held the caller's network address.

The digest has the caller's credentials now, and the address only where it is forwarded; a short body has the same digest with a declared length and in chunks. A trial that is refused by a target is not sent to another one.

--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -102,6 +102,11 @@
 		r.dispatcher.countExtraAttempt(outcome.ForgoneBodyConsumed)
 		return outcome.TargetsRefused
 	}
+	if r.suspect.admission.IsTrial {
+		// A trial reaches one target only.
+		r.dispatcher.countExtraAttempt(outcome.ForgoneSuspected)
+		return outcome.TargetsRefused
+	}
 	r.roundRefusalCount++
 	if r.roundRefusalCount < maxAttemptsPerRound && r.dispatcher.spendRefusalRetryToken(r.service) {
 		r.dispatcher.countExtraAttempt(outcome.RetryTargetRefused)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -242,7 +242,7 @@
 		Allowance:      retry.NewAllowance(min(route.Profile.MaxRetries, parseCount(r.Header, HeaderMaxExtraAttempts, route.Profile.MaxRetries))),
 		BodyReplayable: b.isReplayable(),
 	}
-	call.Identity = &identity{caller: string(call.Caller), inbound: r, body: b}
+	call.Identity = &identity{caller: h.callerIdentity(r), inbound: r, body: b}
 	call.Claim, failure = h.claim(r, route, b)
 	in.route, in.call, in.body, in.hops = route, call, b, hops
 	return in, failure
@@ -265,13 +265,13 @@
 	return h.Settings.ReplayBufferBytes
 }
 
+func (h *Handler) callerHeader() string {
+	return cmp.Or(h.Settings.CallerHeader, defaultCallerHeader)
+}
+
 // caller returns the identity of the caller, which is used for fair queueing only.
 func (h *Handler) caller(r *http.Request) admission.Caller {
-	name := h.Settings.CallerHeader
-	if name == "" {
-		name = defaultCallerHeader
-	}
-	first, _, _ := strings.Cut(r.Header.Get(name), ",")
+	first, _, _ := strings.Cut(r.Header.Get(h.callerHeader()), ",")
 	if first = strings.TrimSpace(first); first != "" {
 		return admission.Caller(first)
 	}
--- a/entry/identity.go
+++ b/entry/identity.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/apricotmount/apricotmount/quarantine"
@@ -72,6 +73,23 @@
 	return p.prefix, p.atEnd || len(p.prefix) == prefixBytes
 }
 
+// credentialHeaders are the headers by which targets may tell callers apart.
+var credentialHeaders = []string{"Authorization", "Cookie"}
+
+// callerIdentity returns what tells callers apart for a target: their credentials and, if it
+// is forwarded, their address. Copies of a request that come over different networks are the
+// same to a target that does not receive the address.
+func (h *Handler) callerIdentity(r *http.Request) string {
+	parts := r.Header.Values(h.callerHeader())
+	if !h.Settings.OmitProductHeaders {
+		parts = []string{string(h.caller(r))}
+	}
+	for _, name := range credentialHeaders {
+		parts = append(parts, r.Header.Values(name)...)
+	}
+	return strings.Join(parts, "\n")
+}
+
 // identity identifies the request of a call; it implements dispatch.Identity.
 type identity struct {
 	caller  string
@@ -92,7 +110,7 @@
 	if i.isSet {
 		return i.digest, true
 	}
-	start := i.body.buffered
+	start, length := i.body.buffered, i.body.length
 	if p := i.body.prefix; p != nil {
 		if mayRead {
 			p.peek()
@@ -100,10 +118,14 @@
 		if start, ok = p.known(); !ok {
 			return quarantine.Digest{}, false
 		}
+		if len(start) < prefixBytes {
+			// The same body has the same length, whether it was declared or not.
+			length = int64(len(start))
+		}
 	}
 	i.digest = quarantine.Request{
 		Caller: i.caller, Method: i.inbound.Method, Host: hostWithoutPort(i.inbound.Host), URI: i.inbound.URL.RequestURI(),
-		BodyLength: i.body.length, Body: start,
+		BodyLength: length, Body: start,
 	}.Digest()
 	i.isSet = true
 	return i.digest, true
--- a/entry/identity_test.go
+++ b/entry/identity_test.go
@@ -6,6 +6,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/apricotmount/apricotmount/quarantine"
 )
 
 func newTestIdentity(t *testing.T, text string) (*identity, *body) {
@@ -41,3 +43,39 @@
 		}
 	}
 }
+
+// Copies of one request come from several addresses of its caller, with a declared length or
+// in chunks. A target that receives neither runs the same request.
+func TestCopiesThatTargetsCannotTellApartAreOneRequest(t *testing.T) {
+	newRequest := func(address, authorization string, length int64) *http.Request {
+		r := httptest.NewRequest(http.MethodPost, "http://h.example/a?b=1", io.NopCloser(strings.NewReader("abc")))
+		r.RemoteAddr, r.ContentLength = address, length
+		r.Header.Set("Authorization", authorization)
+		return r
+	}
+	tests := []struct {
+		name                 string
+		omitsAddress, isSame bool
+		other                *http.Request
+	}{
+		{"another address", true, true, newRequest("100.66.0.7:1", "key-1", 3)},
+		{"in chunks", true, true, newRequest("100.64.0.7:1", "key-1", -1)},
+		{"other credentials", true, false, newRequest("100.64.0.7:1", "key-2", 3)},
+		{"another address that is forwarded", false, false, newRequest("100.66.0.7:1", "key-1", 3)},
+	}
+	for _, tt := range tests {
+		h := &Handler{Settings: Settings{OmitProductHeaders: tt.omitsAddress}}
+		digestOf := func(r *http.Request) quarantine.Digest {
+			b, err := readBody(r, 1<<10, func(int64) bool { return true })
+			if err != nil {
+				t.Fatal(err)
+			}
+			d, _ := (&identity{caller: h.callerIdentity(r), inbound: r, body: b}).Digest(true)
+			return d
+		}
+		first := digestOf(newRequest("100.64.0.7:2", "key-1", 3))
+		if got := digestOf(tt.other) == first; got != tt.isSame {
+			t.Errorf("%s: same request: got %t, want %t", tt.name, got, tt.isSame)
+		}
+	}
+}
