Test who learns of a held request, what frees it and what is not blamed

A node that starts later refuses the request at once; a trial frees it when the fault is mended; a popular call that is open at six of eight ending targets is served in at least 95 of 100.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -24,6 +24,9 @@
 	runs []time.Time
 	// isMended makes the harmful requests complete.
 	isMended bool
+	hosts    []*platformtest.Host
+	// startCounts are the numbers of the processes that run.
+	startCounts []int
 }
 
 const harmfulPart = "harmful"
@@ -34,6 +37,7 @@
 func (ct *crashyTargets) start(i int, service, z string) {
 	ct.c.t.Helper()
 	host := &platformtest.Host{Downtime: 1500 * time.Millisecond}
+	ct.hosts, ct.startCounts = append(ct.hosts, host), append(ct.startCounts, 0)
 	var address string
 	ready := make(chan struct{})
 	host.Start = func(n int) http.Handler {
@@ -46,6 +50,9 @@
 			}
 			ct.c.store.Put(platformtest.TargetsTopic, id, target.RecordJSON(service, z, address, "ready", n))
 		}
+		ct.mu.Lock()
+		ct.startCounts[i] = n
+		ct.mu.Unlock()
 		go register()
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if strings.Contains(r.URL.Path, harmfulPart) && ct.recordRun() {
@@ -180,3 +187,67 @@
 		t.Errorf("calls served beside it: got %d of %d, want at least %d", served, sent, min)
 	}
 }
+
+// holdHarmful sends a harmful request until the fleet holds it back.
+func (ct *crashyTargets) holdHarmful() {
+	ct.c.t.Helper()
+	for range 20 {
+		ct.c.get(0, "/x/"+harmfulPart)
+		if ct.runCount() >= 3 {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ct.c.t.Fatalf("runs of the harmful request: got %d, want 3", ct.runCount())
+}
+
+// A node that starts later refuses the request too, at once and with a time. When the fault is
+// mended, a trial frees the request at all nodes.
+func TestHeldRequestIsRefusedByNewNodeAndFreedByTrial(t *testing.T) {
+	c, ct := newCrashyCluster(t, 2, 6)
+	ct.holdHarmful()
+	runs := ct.runCount()
+	c.startNode("east", c.storeAddress)
+	c.waitFor(waitTimeout, "a ready node", func() bool { return c.isReady(2) })
+	c.linkNodes()
+	start := time.Now()
+	status, h := c.get(2, "/x/"+harmfulPart)
+	if status != http.StatusServiceUnavailable || h.Get("Retry-After") == "" || time.Since(start) > time.Second {
+		t.Errorf("answer of a node that started later: got %d with Retry-After %q after %s, want 503 with a time at once", status, h.Get("Retry-After"), time.Since(start))
+	}
+	if got := ct.runCount(); got != runs {
+		t.Errorf("runs after the request was held: got %d more, want none", got-runs)
+	}
+	ct.mu.Lock()
+	ct.isMended = true
+	ct.mu.Unlock()
+	c.waitFor(waitTimeout, "a trial that completes", func() bool { status, _ := c.get(1, "/x/"+harmfulPart); return status == http.StatusOK })
+	for i := range c.nodes {
+		c.waitFor(time.Second, "a node that serves the request again", func() bool { status, _ := c.get(i, "/x/"+harmfulPart); return status == http.StatusOK })
+	}
+}
+
+// Most targets of a service end one after the other while one popular call runs at all of
+// them. It is not what ended them, so it is not held back.
+func TestPopularCallIsNotBlamedForEndOfItsTargets(t *testing.T) {
+	c, ct := newCrashyCluster(t, 3, 8)
+	var calls sync.WaitGroup
+	var served, sent int
+	calls.Go(func() {
+		served, sent = c.load(4*time.Second, 5*time.Millisecond, func(int) string { return "/x/popular" })
+	})
+	for i := range 6 {
+		time.Sleep(150 * time.Millisecond)
+		ct.mu.Lock()
+		n := ct.startCounts[i]
+		ct.mu.Unlock()
+		ct.hosts[i].Crash(n)
+	}
+	calls.Wait()
+	if min := sent * 95 / 100; served < min {
+		t.Errorf("popular calls served: got %d of %d, want at least %d", served, sent, min)
+	}
+	if status, _ := c.get(0, "/x/popular"); status != http.StatusOK {
+		t.Errorf("popular call afterwards: got %d, want 200", status)
+	}
+}
