Log when a node loses its path to the targets of a service

Each silent target was logged by itself, so that the logs could not tell a node that is parted from all targets from slow targets. Package reach joins the load queries of a node: path-lost is logged when six targets of a service (or all of fewer) were silent and none has responded for 0.3 s, path-back at the next response. No decision depends on it yet.

--- a/event/event.go
+++ b/event/event.go
@@ -113,6 +113,8 @@
 	TargetLimitInvalid  = register(411, "target-limit-invalid", zap.WarnLevel, "A target named a rate limit that is no number, negative or infinite; what was in force before stays.")
 	TargetHeaderUnknown = register(412, "target-header-unknown", zap.WarnLevel, "Responses carry a header of the protocol between targets and nodes that this version does not know (field header): it is forwarded to callers and changes nothing here. Logged once for each header and service.")
 	TargetEnded         = register(413, "target-ended", zap.WarnLevel, "The process of a target ended while calls were open at it: after the loss of a response its address refused a new connection or another process answered there. The lines call-failed with the same target name these calls and the digests of their requests.")
+	PathLost            = register(420, "path-lost", zap.ErrorLevel, "Several targets of a service (field silent) did not respond to this node and none has responded since: its path to them is lost, or all of them are down. The field last-response-ms is the time since the last response.")
+	PathBack            = register(421, "path-back", zap.InfoLevel, "A target of the service responds to this node again.")
 	MeasuringForgone    = register(410, "measuring-forgone", zap.DebugLevel, "A probe failed or was not sent, usually because the probe budget is spent; the field cause states why.")
 )
 
--- a/gateway/loadquery.go
+++ b/gateway/loadquery.go
@@ -96,13 +96,16 @@
 func (u *upstreams) runQuery(ref target.Ref, pool *wire.Pool, table *target.Table) {
 	ctx, cancel := context.WithTimeout(u.node.ctx, openQueryTimeout)
 	defer cancel()
+	startedAt := time.Now()
 	report, err := pool.QueryLoad(ctx, loadQueryTimeout)
 	now := time.Now()
 	u.node.gatewayMetrics.CountLoadQuery(err == nil)
 	if err != nil {
 		event.TargetMute.Log(u.node.logger, zap.String("target", string(ref.ID)), zap.String("cause", eris.Cause(err).Error()))
 		table.MarkUnresponsive(ref.ID, now)
+		u.node.recordSilence(ref, table, startedAt)
 		return
 	}
+	u.node.recordContact(ref.Service)
 	table.RecordReport(ref.ID, now, report)
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -144,6 +144,9 @@
 		zap.Int64("took-ms", e.TotalDuration.Milliseconds()), zap.Int("further", e.ExtraAttempts),
 		zap.String("target", string(e.Target.ID)), zap.String("reason", string(e.Reason)), zap.Int("status", e.Status),
 	}
+	if e.Outcome == outcome.Done {
+		n.recordContact(e.Service)
+	}
 	if e.Service != "" {
 		n.gatewayMetrics.RecordCall(e.Service, e.Outcome, e.TotalDuration)
 	}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -24,6 +24,7 @@
 	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/quarantine"
+	"github.com/apricotmount/apricotmount/reach"
 	"github.com/apricotmount/apricotmount/replica"
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/vm"
@@ -65,6 +66,9 @@
 	handler    *entry.Handler
 	hub        *peer.Hub
 	quarantine *quarantine.Guard
+	paths      reach.Watch
+	// pathDoubt wakes watchPaths.
+	pathDoubt chan struct{}
 
 	servers      []*listener.Server
 	callerServer *listener.Server
@@ -112,6 +116,7 @@
 	n.reloadable.Store(&s)
 	n.entrySettings.MaxBufferedBytes = int64(bufferedBodyShare * s.MemoryLimitMB * (1 << 20))
 	n.initialized = make(chan struct{})
+	n.pathDoubt = make(chan struct{}, 1)
 	address := cmp.Or(s.AdvertisedAddress, s.PeerAddress)
 	n.self = vm.VM{ID: vm.ID(address), Role: vm.RoleEntry, Address: address, Zone: s.Zone, State: vm.StateLive}
 	countViolation := metrics.NewInvariantCounter(d.Metrics.Scope)
@@ -198,6 +203,7 @@
 	n.goroutines.Go(func() { n.listNodesLoop(n.ctx) })
 	n.goroutines.Go(func() { n.hub.Run(n.ctx) })
 	n.goroutines.Go(func() { n.runMaintenance(n.ctx) })
+	n.goroutines.Go(func() { n.watchPaths(n.ctx) })
 }
 
 // maintenanceInterval is the time between two passes of runMaintenance.
--- /dev/null
+++ b/reach/watch.go
@@ -0,0 +1,212 @@
+package reach
+
+import (
+	"sync"
+	"time"
+
+	"github.com/apricotmount/apricotmount/service"
+	"github.com/apricotmount/apricotmount/vm"
+)
+
+const (
+	// minSilentTargets is the number of targets that must have failed to respond, or all
+	// targets of a service that has fewer. A node that reaches half of the targets would
+	// rarely choose so many others in a row.
+	minSilentTargets = 6
+	// minSilence is the time without any response after which a path counts as lost. Other
+	// targets that were asked at the same time have responded by then.
+	minSilence = 300 * time.Millisecond
+)
+
+// Failure is an exchange with a target that ended without a response.
+type Failure struct {
+	Service service.Name
+	Target  vm.ID
+	// TargetCount is the number of targets of the service.
+	TargetCount int
+	// StartedAt is when the exchange began: a response of another target since then shows
+	// that there was a path.
+	StartedAt time.Time
+}
+
+// Change is a path that was lost or is back.
+type Change struct {
+	Service service.Name
+	IsLost  bool
+	// SilentTargets are the targets that failed to respond, and LastResponseAt is when the
+	// last one of the service responded; zero if none has.
+	SilentTargets  []vm.ID
+	LastResponseAt time.Time
+}
+
+// Watch holds what a node has seen of its paths. Its zero value knows of no failure and is
+// ready to use; its methods are safe for concurrent use.
+type Watch struct {
+	mu       sync.Mutex
+	services map[service.Name]*path
+	// lastResponseAt is when any target last responded.
+	lastResponseAt time.Time
+}
+
+// path is what was seen of the targets of one service.
+type path struct {
+	lastResponseAt time.Time
+	// silentSince maps each target that failed to respond since lastResponseAt to the
+	// start of its first failed exchange.
+	silentSince map[vm.ID]time.Time
+	targetCount int
+	isLost      bool
+	// lost is closed when the path is lost.
+	lost chan struct{}
+}
+
+// pathTo returns the path to a service. w.mu must be held.
+func (w *Watch) pathTo(s service.Name) *path {
+	p := w.services[s]
+	if p != nil {
+		return p
+	}
+	if w.services == nil {
+		w.services = map[service.Name]*path{}
+	}
+	p = &path{silentSince: map[vm.ID]time.Time{}, lost: make(chan struct{})}
+	w.services[s] = p
+	return p
+}
+
+// RecordResponse records that a target of a service responded. It returns the change if that
+// ends the loss of the path.
+func (w *Watch) RecordResponse(s service.Name, now time.Time) (changes []Change) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.pathTo(s)
+	w.lastResponseAt, p.lastResponseAt = now, now
+	clear(p.silentSince)
+	if !p.isLost {
+		return nil
+	}
+	p.isLost = false
+	p.lost = make(chan struct{})
+	return []Change{{Service: s, LastResponseAt: now}}
+}
+
+// RecordFailure records an exchange that ended without a response, and returns the paths that
+// are lost by that.
+func (w *Watch) RecordFailure(f Failure, now time.Time) (changes []Change) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.pathTo(f.Service)
+	p.targetCount = f.TargetCount
+	if f.StartedAt.Before(p.lastResponseAt) {
+		return nil
+	}
+	if _, known := p.silentSince[f.Target]; !known {
+		p.silentSince[f.Target] = f.StartedAt
+	}
+	return w.check(now)
+}
+
+// Check returns the paths that are lost by now.
+func (w *Watch) Check(now time.Time) (changes []Change) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.check(now)
+}
+
+// check marks the paths that are lost and returns them. w.mu must be held.
+func (w *Watch) check(now time.Time) (changes []Change) {
+	isAllSilent := w.isAllSilent(now)
+	for s, p := range w.services {
+		if p.isLost || !p.isSilent(now) && !isAllSilent {
+			continue
+		}
+		p.isLost = true
+		close(p.lost)
+		change := Change{Service: s, IsLost: true, LastResponseAt: p.lastResponseAt}
+		for id := range p.silentSince {
+			change.SilentTargets = append(change.SilentTargets, id)
+		}
+		changes = append(changes, change)
+	}
+	return changes
+}
+
+// isSilent reports whether enough targets of one service have been silent for long enough.
+func (p *path) isSilent(now time.Time) bool {
+	return len(p.silentSince) >= max(1, min(minSilentTargets, p.targetCount)) && now.Sub(earliest(p.silentSince)) >= minSilence
+}
+
+// isAllSilent reports whether targets of several services have been silent, and no target of
+// any service has responded since. A service with few calls shows little by itself. w.mu must
+// be held.
+func (w *Watch) isAllSilent(now time.Time) bool {
+	targetCount, serviceCount := 0, 0
+	var since time.Time
+	for _, p := range w.services {
+		if len(p.silentSince) == 0 {
+			continue
+		}
+		serviceCount++
+		targetCount += len(p.silentSince)
+		if first := earliest(p.silentSince); since.IsZero() || first.Before(since) {
+			since = first
+		}
+	}
+	return serviceCount > 1 && targetCount >= minSilentTargets && now.Sub(since) >= minSilence && w.lastResponseAt.Before(since)
+}
+
+func earliest(times map[vm.ID]time.Time) (first time.Time) {
+	for _, at := range times {
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first
+}
+
+// IsLost reports whether the path to the targets of a service is lost.
+func (w *Watch) IsLost(s service.Name) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.services[s]
+	return p != nil && p.isLost
+}
+
+// Lost returns a channel that is closed while the path to a service is lost.
+func (w *Watch) Lost(s service.Name) <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.pathTo(s).lost
+}
+
+// Doubtful returns the services of which targets failed to respond and none has responded
+// since.
+func (w *Watch) Doubtful() (names []service.Name) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for s, p := range w.services {
+		if p.isLost || len(p.silentSince) > 0 {
+			names = append(names, s)
+		}
+	}
+	return names
+}
+
+// LostCount returns the number of services to whose targets the path is lost.
+func (w *Watch) LostCount() (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.services {
+		if p.isLost {
+			n++
+		}
+	}
+	return n
+}
+
+// Forget drops what was seen of a service that is no longer used.
+func (w *Watch) Forget(s service.Name) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.services, s)
+}
--- a/target/table.go
+++ b/target/table.go
@@ -226,6 +226,24 @@
 	return c
 }
 
+// Sample returns at most n targets, chosen at random, that accept work and have not asked for
+// a time without requests.
+func (t *Table) Sample(n int, now time.Time) (refs []Ref) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	nowTick := t.toTick(now)
+	for _, i := range t.rng.Perm(len(t.entries)) {
+		e := t.entries[i]
+		if len(refs) == n {
+			break
+		}
+		if e.acceptsWork() && nowTick >= e.backOffUntil {
+			refs = append(refs, e.ref)
+		}
+	}
+	return refs
+}
+
 // View is a snapshot of one target for operators and peers.
 type View struct {
 	Ref      Ref
