--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -70,8 +70,8 @@
 			t.Fatal(err)
 		}
 		<-n.ended
-		n.storeProxy.close()
-		n.peerProxy.close()
+		n.storeProxy.Close()
+		n.peerProxy.Close()
 		if got := findingNames(&harness{recorder: n.recorder}); got != test.want {
 			t.Errorf("%s: got %q, want %q", test.name, got, test.want)
 		}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -60,12 +60,12 @@
 		mode := h.randomLinkFault()
 		for _, n := range h.nodes {
 			n.recordDisturbance(time.Now())
-			n.peerProxy.setMode(mode)
+			n.peerProxy.SetMode(mode)
 		}
 		time.Sleep(h.randomFaultDuration())
 		for _, n := range h.nodes {
-			n.peerProxy.setMode(linkOpen)
-			n.peerProxy.reset()
+			n.peerProxy.SetMode(platformtest.LinkOpen)
+			n.peerProxy.Reset()
 			n.recordDisturbance(time.Now())
 		}
 	}},
@@ -74,16 +74,16 @@
 		t := h.randomTarget()
 		h.mu.Unlock()
 		h.recordLinkDisturbance(t)
-		t.proxy.setMode(h.randomLinkFault())
+		t.proxy.SetMode(h.randomLinkFault())
 		time.Sleep(h.randomFaultDuration())
-		t.proxy.setMode(linkOpen)
-		t.proxy.reset()
+		t.proxy.SetMode(platformtest.LinkOpen)
+		t.proxy.Reset()
 		h.recordLinkDisturbance(t)
 	}},
 	{"reset", func(h *harness, n *node) {
 		n.recordDisturbance(time.Now())
-		n.storeProxy.reset()
-		n.peerProxy.reset()
+		n.storeProxy.Reset()
+		n.peerProxy.Reset()
 	}},
 	{"plan", func(h *harness, _ *node) { h.publishConfig() }},
 	{"targets-topic", func(h *harness, _ *node) {
@@ -187,17 +187,22 @@
 	return kinds
 }
 
-// randomLinkFault draws a link mode other than linkOpen.
-func (h *harness) randomLinkFault() linkMode { return linkMode(1 + h.randomInt(int(linkModeCount)-1)) }
+// linkFaults are the modes of links that randomLinkFault draws from.
+var linkFaults = []platformtest.LinkMode{platformtest.LinkSlow, platformtest.LinkSilent, platformtest.LinkResponseSilent}
+
+// randomLinkFault draws a link mode other than platformtest.LinkOpen.
+func (h *harness) randomLinkFault() platformtest.LinkMode {
+	return linkFaults[h.randomInt(len(linkFaults))]
+}
 
 // disruptLink applies a random link fault for a random duration, and then resets the
 // connections of the link.
-func (h *harness) disruptLink(n *node, p *proxy) {
+func (h *harness) disruptLink(n *node, p *platformtest.Proxy) {
 	n.recordDisturbance(time.Now())
-	p.setMode(h.randomLinkFault())
+	p.SetMode(h.randomLinkFault())
 	time.Sleep(h.randomFaultDuration())
-	p.setMode(linkOpen)
-	p.reset()
+	p.SetMode(platformtest.LinkOpen)
+	p.Reset()
 	n.recordDisturbance(time.Now())
 }
 
--- a/soak/node.go
+++ b/soak/node.go
@@ -28,7 +28,7 @@
 	internalPorts         [2]int
 	// storeProxy forwards from this node to the store, peerProxy from other nodes to
 	// this one.
-	storeProxy, peerProxy *proxy
+	storeProxy, peerProxy *platformtest.Proxy
 
 	mu      sync.Mutex
 	process *os.Process
@@ -56,10 +56,10 @@
 	}
 	n.callerAddress, n.readinessAddress = fmt.Sprint(host, ":", ports[0]), fmt.Sprint(host, ":", ports[1])
 	n.internalPorts = [2]int{min(ports[2], ports[3]), max(ports[2], ports[3])}
-	if n.storeProxy, err = newProxy(store); err != nil {
+	if n.storeProxy, err = platformtest.NewProxy(store); err != nil {
 		return nil, err
 	}
-	if n.peerProxy, err = newProxy(fmt.Sprint(host, ":", n.internalPorts[0])); err != nil {
+	if n.peerProxy, err = platformtest.NewProxy(fmt.Sprint(host, ":", n.internalPorts[0])); err != nil {
 		return nil, err
 	}
 	return n, n.writeSettings(true)
@@ -75,7 +75,7 @@
 // writeSettings writes the node's settings file.
 func (n *node) writeSettings(first bool) error {
 	v := platformtest.VMSettings{
-		Name: n.name, IP: n.host, Zone: n.zone, CallersAddress: n.callerAddress, ReadinessAddress: n.readinessAddress, StoreAddress: n.storeProxy.address(),
+		Name: n.name, IP: n.host, Zone: n.zone, CallersAddress: n.callerAddress, ReadinessAddress: n.readinessAddress, StoreAddress: n.storeProxy.Address(),
 		FirstInternalPort: n.internalPorts[0], LastInternalPort: n.internalPorts[1], IsFirstStart: first, GraceSeconds: graceSeconds,
 	}
 	return os.WriteFile(n.settingsPath, []byte(v.YAML()), 0o600)
@@ -90,7 +90,7 @@
 	}
 	defer out.Close()
 	args := append([]string{n.settings.Program}, n.settings.Args...)
-	args = append(args, "--advertise", n.peerProxy.address())
+	args = append(args, "--advertise", n.peerProxy.Address())
 	p, err := os.StartProcess(n.settings.Program, args, &os.ProcAttr{
 		Env:   append(os.Environ(), platform.SettingsPathEnv+"="+n.settingsPath),
 		Files: []*os.File{nil, out, out},
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -183,8 +183,8 @@
 		n.signal(syscall.SIGCONT)
 		n.signal(syscall.SIGKILL)
 		n.awaitExit(time.Second)
-		n.storeProxy.close()
-		n.peerProxy.close()
+		n.storeProxy.Close()
+		n.peerProxy.Close()
 	}
 	for _, c := range h.closers {
 		c()
@@ -263,8 +263,8 @@
 	h.mu.Unlock()
 	h.endLimits(h.targets)
 	for _, n := range h.nodes {
-		n.storeProxy.setMode(linkOpen)
-		n.peerProxy.setMode(linkOpen)
+		n.storeProxy.SetMode(platformtest.LinkOpen)
+		n.peerProxy.SetMode(platformtest.LinkOpen)
 		n.signal(syscall.SIGCONT)
 	}
 	if !h.awaitReady(ctx, readyTimeout) {
--- a/soak/target.go
+++ b/soak/target.go
@@ -11,7 +11,7 @@
 type target struct {
 	*platformtest.Target
 	zone  string
-	proxy *proxy
+	proxy *platformtest.Proxy
 	// leftAt is when the target began to drain or was removed; zero if it is active.
 	leftAt time.Time
 	// coldArrivals holds the arrival times of the calls that a target in cold start got
@@ -30,11 +30,11 @@
 // addTarget adds a target. cold must be set if calls are already under way, so that the
 // target begins in cold start.
 func (h *harness) addTarget(cold bool) error {
-	p, err := newProxy("")
+	p, err := platformtest.NewProxy("")
 	if err != nil {
 		return err
 	}
-	h.closers = append(h.closers, p.close)
+	h.closers = append(h.closers, p.Close)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.startTarget(&target{zone: zones[len(h.targets)%len(zones)], proxy: p}, cold)
@@ -55,7 +55,7 @@
 		return err
 	}
 	h.closers = append(h.closers, closeTarget)
-	t.proxy.setUpstream(address)
+	t.proxy.SetUpstream(address)
 	h.targets = append(h.targets, t)
 	h.putRecord(t, "ready")
 	return nil
@@ -63,7 +63,7 @@
 
 // putRecord writes a target's record into the store. h.mu must be held.
 func (h *harness) putRecord(t *target, state string) {
-	h.store.Put(platformtest.TargetsTopic, t.ID, t.RecordJSON("a", t.zone, t.proxy.address(), state, int(h.sequence.Add(1))))
+	h.store.Put(platformtest.TargetsTopic, t.ID, t.RecordJSON("a", t.zone, t.proxy.Address(), state, int(h.sequence.Add(1))))
 }
 
 // activeTargets returns the targets that have not left. h.mu must be held.
@@ -110,7 +110,7 @@
 	t := h.randomTarget()
 	t.leftAt = time.Now()
 	err := h.startTarget(&target{zone: t.zone, proxy: t.proxy}, true)
-	t.proxy.reset()
+	t.proxy.Reset()
 	h.store.Put(platformtest.TargetsTopic, t.ID, "")
 	return err
 }
