--- a/gateway/node_test.go
+++ b/gateway/node_test.go
@@ -31,6 +31,8 @@
 	targetAddresses map[string]string
 	// wrapStore, if set, wraps the store of the next nodes.
 	wrapStore func(gateway.Store) gateway.Store
+	// newDecoder, if set, returns the decoder of the next node.
+	newDecoder func() gateway.Decoder
 	// peerAddresses are the addresses of the next nodes; empty means free ones.
 	peerAddresses []vm.Address
 	heartbeats    int
@@ -93,8 +95,12 @@
 	if c.wrapStore != nil {
 		client = c.wrapStore(client)
 	}
+	var decoder gateway.Decoder = platform.RecordDecoder{}
+	if c.newDecoder != nil {
+		decoder = c.newDecoder()
+	}
 	n := gateway.NewNode(s, gateway.Dependencies{
-		Store: client, Decoder: platform.RecordDecoder{}, EntrySettings: platform.EntrySettings,
+		Store: client, Decoder: decoder, EntrySettings: platform.EntrySettings,
 		RequestIDHeader: platform.RequestIDHeader, Logger: zap.NewNop(), Metrics: metrics.NewDiscardRegistry(),
 	})
 	if err := n.Start(); err != nil {
