Send calls through another node while the path to their targets is lost

Callers of parted nodes were refused after 0.4 to 1.4 s or not served at all, those of other nodes were served.

Cause: a node judged the targets by its own exchanges alone and could only refuse; nothing let a node that reaches the targets serve the call.

Why it works: once a path is lost (package reach), a call ends with path-lost before it queues, or at its next step; an idempotent attempt that hangs is given up. If no copy may have run, or one more is paid for, it goes through another node (package relay).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -112,6 +112,13 @@
 	QueryLoad(ctx context.Context, refs []target.Ref)
 }
 
+// Path states whether a node has a path to the targets of a service.
+type Path interface {
+	IsLost() bool
+	// Lost returns a context that is done while the path is lost.
+	Lost() context.Context
+}
+
 // Service is the state that a node keeps to execute the calls of one service.
 type Service struct {
 	Table *target.Table
@@ -128,6 +135,9 @@
 	// Latencies holds the recent latencies of first attempts, which set the hedge
 	// delay of calls without a forecast.
 	Latencies *retry.LatencyWindow
+	// Path, if set, ends calls that another node may serve once this one has no path to
+	// the targets.
+	Path Path
 	// LateCallLimiter bounds the number of waiting calls that can no longer meet
 	// their objective. Calls whose profile has no objective are never late.
 	LateCallLimiter admission.LateCallLimiter
@@ -179,6 +189,9 @@
 	// RetryAfter is the delay after which the caller should retry, derived from the
 	// load of the targets; zero if none could be derived.
 	RetryAfter time.Duration
+	// CanForward reports whether the call may be sent through another node: this one has no
+	// path to the targets, and no copy may have run or one more is paid for.
+	CanForward bool
 	// EarliestRetry is the delay before which a retry would be refused again; zero if
 	// unknown.
 	EarliestRetry time.Duration
@@ -200,6 +213,10 @@
 	if fail != nil {
 		return nil, fail
 	}
+	if svc.isPathLost() {
+		suspect.leave()
+		return nil, &CallFailure{Outcome: outcome.NotRun, Reason: outcome.PathLost, CanForward: true}
+	}
 	permit, reason := svc.Gate.Acquire(ctx, admission.Request{
 		Urgency: c.Profile.Urgency, Caller: c.Caller, Deadline: c.Deadline, MaxWait: c.Profile.QueueTimeout,
 	})
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -16,7 +16,10 @@
 func (r *run) attemptWithHedge(ctx context.Context, reservation target.Reservation) (*CallResponse, *AttemptFailure) {
 	firstCtx, cancel := context.WithCancel(ctx)
 	h := r.scheduleHedge(ctx, cancel, reservation)
+	stopWatching := r.cancelOnPathLoss(cancel)
+	r.hasAttempted = true
 	firstResponse, firstFailure := r.attempt(firstCtx, reservation, r.allowance.DownstreamLimit())
+	stopWatching()
 	resp, failure := r.resolveHedge(ctx, h, reservation, firstResponse, firstFailure)
 	if h.hasSpentToken() && !r.allowance.Spend() {
 		r.dispatcher.countExtraAttempt(outcome.ForgoneNoAllowance)
--- /dev/null
+++ b/dispatch/path.go
@@ -0,0 +1,31 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/apricotmount/apricotmount/outcome"
+)
+
+// isPathLost reports whether the node has no path to the targets of the service.
+func (s *Service) isPathLost() bool {
+	return s.Path != nil && s.Path.IsLost()
+}
+
+// cancelOnPathLoss calls cancel when the path to the targets is lost before the returned
+// function is called, so that a call does not wait for a response that cannot arrive. A call
+// that may run only once waits: its response may still arrive if the path returns.
+func (r *run) cancelOnPathLoss(cancel context.CancelFunc) (stop func() bool) {
+	if r.service.Path == nil || !r.call.Profile.Idempotent || !r.call.BodyReplayable {
+		return func() bool { return true }
+	}
+	return context.AfterFunc(r.service.Path.Lost(), cancel)
+}
+
+// canForward reports whether a call that ends for the given reason may be sent through
+// another node. It charges the retry if a copy may have run.
+func (r *run) canForward(reason outcome.Reason) bool {
+	if reason != outcome.PathLost || !r.call.BodyReplayable && r.hasAttempted {
+		return false
+	}
+	return !r.mayHaveRun || r.chargeRetry()
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -31,6 +31,8 @@
 	// possibleRunCount is the number of failed attempts that may have run at their
 	// targets.
 	possibleRunCount int
+	// hasAttempted reports whether any attempt was made.
+	hasAttempted bool
 	// mayHaveRun reports whether any attempt may have run.
 	mayHaveRun  bool
 	claimLapsed bool
@@ -153,6 +155,9 @@
 	if r.suspect.isHeld() {
 		return outcome.Quarantined
 	}
+	if r.service.isPathLost() {
+		return outcome.PathLost
+	}
 	return ""
 }
 
@@ -160,13 +165,14 @@
 // attempt may have run, otherwise NotRun. It releases the claim of a call that was
 // not run.
 func (r *run) callFailure(reason outcome.Reason) *CallFailure {
+	canForward := r.canForward(reason)
 	if r.mayHaveRun {
-		return &CallFailure{Outcome: outcome.Unknown, Reason: unknownReason(reason, r.lastLossReason), ExtraAttempts: r.allowance.Spent()}
+		return &CallFailure{Outcome: outcome.Unknown, Reason: unknownReason(reason, r.lastLossReason), ExtraAttempts: r.allowance.Spent(), CanForward: canForward}
 	}
 	if r.call.Claim != nil {
 		r.call.Claim.Release()
 	}
-	return &CallFailure{Outcome: outcome.NotRun, Reason: reason, ExtraAttempts: r.allowance.Spent()}
+	return &CallFailure{Outcome: outcome.NotRun, Reason: reason, ExtraAttempts: r.allowance.Spent(), CanForward: canForward}
 }
 
 // checkFailure checks that a call reported as not run had no attempt that may have
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -74,7 +74,7 @@
 	defaultReplayBufferBytes = 64 << 10
 )
 
-// Handler serves callers. OnMisdirected, OnCallEnd and Settings are optional; all
+// Handler serves callers. OnMisdirected, OnCallEnd, Forwarder and Settings are optional; all
 // other exported fields are required.
 type Handler struct {
 	Directory  Directory
@@ -89,6 +89,9 @@
 	// OnCallEnd, if set, is called once for each call, when its response was
 	// forwarded, to the end or not, or the call failed.
 	OnCallEnd func(e CallResult)
+	// Forwarder, if set, sends calls through other nodes while this one has no path to
+	// their targets.
+	Forwarder Forwarder
 
 	isDraining  atomic.Bool
 	openCalls   atomic.Int64
@@ -115,6 +118,18 @@
 
 // ServeHTTP handles one call.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.serve(w, r, h.Forwarder)
+}
+
+// ServeRelayed handles a call that another node has sent because it has no path to the
+// targets. It returns false, and has not written a response, if this node has none either.
+func (h *Handler) ServeRelayed(w http.ResponseWriter, r *http.Request) (isServed bool) {
+	return h.serve(w, r, nil)
+}
+
+// serve handles one call. It returns false, and has not written a response, if the call was
+// not run because the path to the targets is lost, and there is no forwarder.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, forwarder Forwarder) (isServed bool) {
 	h.openCalls.Add(1)
 	defer h.openCalls.Add(-1)
 	if h.isDraining.Load() {
@@ -130,16 +145,31 @@
 	if failure.Reason != "" {
 		h.reportCallEnd(r, in, CallResult{Outcome: failure.Outcome, Reason: failure.Reason, TotalDuration: time.Since(arrivedAt)})
 		h.writeFailure(w, &dispatch.CallFailure{Outcome: failure.Outcome, Reason: failure.Reason})
-		return
+		return true
+	}
+	callFailure := h.execute(w, r, in, arrivedAt)
+	switch {
+	case callFailure == nil:
+		return true
+	case callFailure.CanForward && forwarder != nil:
+		h.forward(w, r, in, forwarder, callFailure, arrivedAt)
+		return true
+	case callFailure.Reason == outcome.PathLost && callFailure.Outcome == outcome.NotRun && forwarder == nil:
+		return false
 	}
+	h.fail(w, r, in, callFailure, arrivedAt)
+	return true
+}
+
+// execute sends a call and forwards the response. If there is none, it writes nothing and
+// returns the failure.
+func (h *Handler) execute(w http.ResponseWriter, r *http.Request, in inboundCall, arrivedAt time.Time) *dispatch.CallFailure {
 	ctx, cancel := context.WithDeadline(r.Context(), in.call.Deadline)
 	defer cancel()
 	sender := &callSender{handler: h, inbound: r, body: in.body, w: w, hops: in.hops}
 	callResponse, callFailure := h.Dispatcher.Do(ctx, in.route.Dispatch, in.call, sender)
 	if callFailure != nil {
-		h.reportCallEnd(r, in, CallResult{Outcome: callFailure.Outcome, Reason: callFailure.Reason, ExtraAttempts: callFailure.ExtraAttempts, TotalDuration: time.Since(arrivedAt)})
-		h.writeFailure(w, callFailure)
-		return
+		return callFailure
 	}
 	result := CallResult{Outcome: outcome.Done, Target: callResponse.Target(), Status: callResponse.Response.(*TargetResponse).resp.StatusCode, ExtraAttempts: callResponse.ExtraAttempts, TimeToAttempt: callResponse.TimeToAttempt, TotalDuration: time.Since(arrivedAt)}
 	failure, aborted := h.writeResponse(w, r, callResponse, arrivedAt)
@@ -150,6 +180,13 @@
 	if aborted {
 		panic(http.ErrAbortHandler)
 	}
+	return nil
+}
+
+// fail reports a call that failed and writes the response.
+func (h *Handler) fail(w http.ResponseWriter, r *http.Request, in inboundCall, f *dispatch.CallFailure, arrivedAt time.Time) {
+	h.reportCallEnd(r, in, CallResult{Outcome: f.Outcome, Reason: f.Reason, ExtraAttempts: f.ExtraAttempts, TotalDuration: time.Since(arrivedAt)})
+	h.writeFailure(w, f)
 }
 
 // CallResult describes a finished call, for the log.
@@ -208,7 +245,7 @@
 	if r.Header.Get("Upgrade") != "" {
 		return inboundCall{}, notRun(outcome.UpgradeRefused)
 	}
-	requestedTimeout, isSet, ok := parseRemainingTime(r.Header, h.deadlineHeader())
+	requestedTimeout, isSet, ok := parseRemainingTime(r.Header, h.DeadlineHeader())
 	if !ok {
 		return inboundCall{}, notRun(outcome.BadDeadline)
 	}
@@ -248,7 +285,8 @@
 	return in, failure
 }
 
-func (h *Handler) deadlineHeader() string {
+// DeadlineHeader returns the header with a caller's remaining time.
+func (h *Handler) DeadlineHeader() string {
 	return cmp.Or(h.Settings.DeadlineHeader, HeaderDeadline)
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -87,15 +87,17 @@
 
 // Events of calls and of their log lines.
 var (
-	CallPlaced   = register(703, "call-placed", zap.InfoLevel, "An attempt of a call was sent to a target; the line holds the forecast, the load report that it is based on and the age of the report.")
-	CallHedged   = register(704, "call-hedged", zap.InfoLevel, "A hedge was sent because an attempt takes longer than forecast.")
-	CallWaits    = register(705, "call-waits", zap.InfoLevel, "No target is forecast to respond in time; the call waits in the node for capacity.")
-	CallFailed   = register(706, "call-failed", zap.InfoLevel, "An attempt ended without a response; the field written states whether any byte of it may have reached the target, and the field request holds a digest of the caller, method, host, path, query and body, which is the same for each copy of the request at every node.")
-	CallHeldBack = register(707, "call-held-back", zap.InfoLevel, "The rate limits that all usable targets name leave no capacity now; the call waits for this node's next turn, or is refused (field refused). The line holds the number of these targets, the sum of their limits and the age of the oldest.")
-	CallDone     = register(700, "call-done", zap.InfoLevel, "A target responded to a call, and its whole response was forwarded.")
-	CallNotRun   = register(701, "call-not-run", zap.InfoLevel, "A call was refused and did not run; the field reason states why.")
-	CallUnknown  = register(702, "call-unknown", zap.WarnLevel, "A call may have run, but has no response; the field reason states why.")
-	LinesCut     = register(710, "lines-cut", zap.WarnLevel, "Log lines were dropped since the last event of this kind, because their rate was too high or the reader of the log was too slow.")
+	CallPlaced    = register(703, "call-placed", zap.InfoLevel, "An attempt of a call was sent to a target; the line holds the forecast, the load report that it is based on and the age of the report.")
+	CallHedged    = register(704, "call-hedged", zap.InfoLevel, "A hedge was sent because an attempt takes longer than forecast.")
+	CallWaits     = register(705, "call-waits", zap.InfoLevel, "No target is forecast to respond in time; the call waits in the node for capacity.")
+	CallFailed    = register(706, "call-failed", zap.InfoLevel, "An attempt ended without a response; the field written states whether any byte of it may have reached the target, and the field request holds a digest of the caller, method, host, path, query and body, which is the same for each copy of the request at every node.")
+	CallHeldBack  = register(707, "call-held-back", zap.InfoLevel, "The rate limits that all usable targets name leave no capacity now; the call waits for this node's next turn, or is refused (field refused). The line holds the number of these targets, the sum of their limits and the age of the oldest.")
+	CallForwarded = register(708, "call-forwarded", zap.InfoLevel, "This node has no path to the targets of the call and sent it through the node in the field via, whose log has its lines with the same id.")
+	ForwardFailed = register(709, "forward-failed", zap.InfoLevel, "The node in the field via did not take a call or was lost; the field result states how, and written whether the call may have reached it.")
+	CallDone      = register(700, "call-done", zap.InfoLevel, "A target responded to a call, and its whole response was forwarded.")
+	CallNotRun    = register(701, "call-not-run", zap.InfoLevel, "A call was refused and did not run; the field reason states why.")
+	CallUnknown   = register(702, "call-unknown", zap.WarnLevel, "A call may have run, but has no response; the field reason states why.")
+	LinesCut      = register(710, "lines-cut", zap.WarnLevel, "Log lines were dropped since the last event of this kind, because their rate was too high or the reader of the log was too slow.")
 )
 
 // Events of targets.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -138,12 +138,7 @@
 
 // recordCallEnd logs the end of a call and adds it to the metrics.
 func (n *Node) recordCallEnd(e entry.CallResult) {
-	fields := []zap.Field{
-		zap.Int64("version", n.planVersion()),
-		zap.String("id", e.Request.Header.Get(n.requestIDHeader)), zap.String("service", string(e.Service)),
-		zap.Int64("took-ms", e.TotalDuration.Milliseconds()), zap.Int("further", e.ExtraAttempts),
-		zap.String("target", string(e.Target.ID)), zap.String("reason", string(e.Reason)), zap.Int("status", e.Status),
-	}
+	fields := append(n.callEndFields(e), zap.String("target", string(e.Target.ID)))
 	if e.Outcome == outcome.Done {
 		n.recordContact(e.Service)
 	}
@@ -159,6 +154,16 @@
 	outcomeEvents[e.Outcome].Log(n.logger, fields...)
 }
 
+// callEndFields returns the log fields of the end of a call.
+func (n *Node) callEndFields(e entry.CallResult) []zap.Field {
+	return []zap.Field{
+		zap.Int64("version", n.planVersion()),
+		zap.String("id", e.Request.Header.Get(n.requestIDHeader)), zap.String("service", string(e.Service)),
+		zap.Int64("took-ms", e.TotalDuration.Milliseconds()), zap.Int("further", e.ExtraAttempts),
+		zap.String("reason", string(e.Reason)), zap.Int("status", e.Status),
+	}
+}
+
 // planAgeFields returns the log fields that tell how old the plan is by which a call was
 // refused, and how long ago any node is known to have looked for a newer one.
 func (n *Node) planAgeFields(now time.Time) []zap.Field {
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -25,6 +25,7 @@
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/quarantine"
 	"github.com/apricotmount/apricotmount/reach"
+	"github.com/apricotmount/apricotmount/relay"
 	"github.com/apricotmount/apricotmount/replica"
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/vm"
@@ -67,6 +68,8 @@
 	hub        *peer.Hub
 	quarantine *quarantine.Guard
 	paths      reach.Watch
+	sender     *relay.Sender
+	receiver   *relay.Receiver
 	// pathDoubt wakes watchPaths.
 	pathDoubt chan struct{}
 
@@ -143,6 +146,7 @@
 		Settings: peer.Settings{StateInterval: linkStateInterval, DialTimeout: dialTimeout, IdleTimeout: linkIdleTimeout, MaxLinks: maxLinks, CloseUnlisted: true},
 	}
 	n.hub.SetDialAll(true)
+	n.initRelay()
 	return n
 }
 
@@ -170,7 +174,7 @@
 	}{
 		{n.settings.CallerAddress, callers},
 		{n.settings.ReadinessAddress, newInnerServer(http.HandlerFunc(n.serveReadiness))},
-		{string(n.settings.PeerAddress), newInnerServer(peerMux)},
+		{string(n.settings.PeerAddress), newInnerServer(n.receiver.Wrap(peerMux))},
 		{n.settings.MetricsAddress, newInnerServer(metricsMux)},
 	} {
 		if err := n.listen(s.address, s.server); err != nil {
@@ -215,6 +219,7 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, maintenanceInterval)
 		n.upstreams.closeIdleConns(time.Now())
+		n.sender.CloseIdle(time.Now())
 		n.closeIdleCallerConns(time.Now())
 		n.applyState()
 		n.quarantine.Ledger.Expire(time.Now())
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/apricotmount/apricotmount/dispatch"
+	"github.com/apricotmount/apricotmount/entry"
+	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/pause"
+	"github.com/apricotmount/apricotmount/relay"
+)
+
+// initRelay connects the node to the others for calls to targets that only one side reaches.
+func (n *Node) initRelay() {
+	n.receiver = &relay.Receiver{
+		Handler: n.handler, Self: n.self.ID, Instance: strconv.FormatUint(uint64(n.hub.Self), 16),
+		IsMember: n.isMemberIP, CanServe: n.isReady,
+		OnForeign: func(remote string) { event.PeerRefused.Log(n.logger, zap.String("remote", remote)) },
+	}
+	n.sender = relay.NewSender(relay.Settings{
+		Zone: n.settings.Zone, Callers: n.handler, OnCallEnd: n.recordForwardEnd,
+		Dispatcher: &dispatch.Dispatcher{Checks: n.invariants, ExtraAttemptCounter: n.callMetrics, Observer: forwardObserver{n}},
+	})
+	n.handler.Forwarder = n.sender
+}
+
+// isMemberIP reports whether an IP address is that of a known node of the fleet.
+func (n *Node) isMemberIP(ip string) bool {
+	for _, v := range n.state.fleetNodes(time.Now()) {
+		if host, _, err := net.SplitHostPort(string(v.Address)); err == nil && host == ip {
+			return true
+		}
+	}
+	return false
+}
+
+// forwardObserver logs the decisions on calls that go through other nodes.
+type forwardObserver struct{ node *Node }
+
+// ObserveDecision logs to which node a call is sent, or that this failed.
+func (o forwardObserver) ObserveDecision(c *dispatch.Call, d dispatch.Decision) {
+	fields := []zap.Field{zap.String("id", c.ID), zap.String("via", string(d.Target.ID)), zap.Int64("since-ms", d.SinceArrival.Milliseconds()), zap.Int64("version", o.node.planVersion())}
+	switch d.Kind {
+	case dispatch.Placed:
+		event.CallForwarded.Log(o.node.logger, fields...)
+	case dispatch.Failed:
+		event.ForwardFailed.Log(o.node.logger, append(fields, zap.Stringer("result", d.Result), zap.Bool("written", d.Written))...)
+	}
+}
+
+// recordForwardEnd logs the end of a call that went through another node, and adds it to the
+// metrics.
+func (n *Node) recordForwardEnd(e entry.CallResult) {
+	if e.Service != "" {
+		n.gatewayMetrics.RecordCall(e.Service, e.Outcome, e.TotalDuration)
+	}
+	outcomeEvents[e.Outcome].Log(n.logger, append(n.callEndFields(e), zap.String("via", string(e.Target.ID)))...)
+}
+
+// relayedCheckInterval is the time between two checks whether relayed calls have ended.
+const relayedCheckInterval = 10 * time.Millisecond
+
+// waitForRelayed waits until the calls that other nodes have sent have ended, or ctx ends.
+func (n *Node) waitForRelayed(ctx context.Context) {
+	for n.receiver.OpenCallCount() > 0 && ctx.Err() == nil {
+		pause.For(ctx, relayedCheckInterval)
+	}
+}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -40,7 +40,9 @@
 	pause.For(ctx, acceptDuration(n.reloadable.Load().GracePeriod))
 	ctx, cancel := context.WithDeadline(ctx, start.Add(n.reloadable.Load().GracePeriod-stopMargin))
 	defer cancel()
-	if err := n.callerServer.Drain(ctx); err != nil {
+	err := n.callerServer.Drain(ctx)
+	n.waitForRelayed(ctx)
+	if err != nil {
 		event.NodeForcedStop.Log(n.logger, zap.Int64("cut", n.handler.OpenCallCount()))
 	}
 	event.NodeStopped.Log(n.logger, zap.Int64("cut", n.handler.OpenCallCount()))
@@ -66,4 +68,5 @@
 	}
 	n.goroutines.Wait()
 	n.upstreams.close()
+	n.sender.Close()
 }
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -14,6 +14,7 @@
 	"github.com/apricotmount/apricotmount/entry"
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/quota"
+	"github.com/apricotmount/apricotmount/reach"
 	"github.com/apricotmount/apricotmount/retry"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/target"
@@ -154,6 +155,7 @@
 		ids[i] = n.ID
 	}
 	slices.Sort(ids)
+	u.node.sender.SetNodes(nodes, u.node.self.ID, now)
 	u.quota.SetFleet(u.node.self.ID, ids, fleetSize)
 	for name, s := range cfg.services {
 		s.dispatch.ExtraAttemptBudget.SetSettings(u.node.reloadable.Load().ExtraAttempts.share(fleetSize))
@@ -218,6 +220,7 @@
 		Gate:               u.admission.AddGate(s.MaxQueueLength),
 		ExtraAttemptBudget: &retry.Budget{},
 		Latencies:          &retry.LatencyWindow{},
+		Path:               reach.ServicePath{Watch: &n.paths, Service: s.Name},
 	}}
 }
 
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -32,6 +32,7 @@
 	Quarantined       Reason = "quarantined"     // the request ended the targets that ran it
 	TargetsLimited    Reason = "targets-limited" // the targets' rate limits leave no capacity in time
 	ConnectFailed     Reason = "connect-failed"
+	PathLost          Reason = "path-lost" // the node has no path to the targets
 	KeyMissing        Reason = "key-missing"
 	KeyInvalid        Reason = "key-invalid"
 	KeyReused         Reason = "key-reused" // the key was claimed for a different request
@@ -59,7 +60,7 @@
 // NotRunReasons lists all reasons for the outcome NotRun.
 var NotRunReasons = []Reason{
 	NoService, BadDeadline, DeadlinePassed, DeadlineTooClose, TooDeep, QueueFull, QueueTimeout,
-	DisplacedByUrgent, NodeFull, NoTarget, OnlyColdTargets, TargetsRefused, TargetsLimited, Quarantined, ConnectFailed, KeyMissing,
+	DisplacedByUrgent, NodeFull, NoTarget, OnlyColdTargets, TargetsRefused, TargetsLimited, Quarantined, ConnectFailed, PathLost, KeyMissing,
 	KeyInvalid, KeyReused, KeyTooOld, ClaimUnavailable, ClaimsBehind, ClaimLapsed, CallerGone,
 	UpgradeRefused, BodyBroken, NoPlan, BodyTooLong, HeadersTooLong,
 }
@@ -86,7 +87,7 @@
 // reasons of Unknown and for those that a retry of the same call does not remove.
 func AdviceFor(r Reason) Advice {
 	switch r {
-	case QueueFull, QueueTimeout, DeadlineTooClose, DisplacedByUrgent, NodeFull, TargetsRefused, TargetsLimited, ConnectFailed, OnlyColdTargets:
+	case QueueFull, QueueTimeout, DeadlineTooClose, DisplacedByUrgent, NodeFull, TargetsRefused, TargetsLimited, ConnectFailed, PathLost, OnlyColdTargets:
 		return Advice{CanRetry: true, RetryAfter: shortRetryAfter}
 	case NoTarget, Quarantined, ClaimUnavailable, ClaimsBehind, ClaimLapsed:
 		return Advice{CanRetry: true, RetryAfter: longRetryAfter}
--- a/reach/watch.go
+++ b/reach/watch.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -56,8 +57,15 @@
 	silentSince map[vm.ID]time.Time
 	targetCount int
 	isLost      bool
-	// lost is closed when the path is lost.
-	lost chan struct{}
+	// lost is done while the path is lost, and setLost makes it so.
+	lost    context.Context
+	setLost context.CancelFunc
+}
+
+func newPath() *path {
+	p := &path{silentSince: map[vm.ID]time.Time{}}
+	p.lost, p.setLost = context.WithCancel(context.Background())
+	return p
 }
 
 // pathTo returns the path to a service. w.mu must be held.
@@ -69,7 +77,7 @@
 	if w.services == nil {
 		w.services = map[service.Name]*path{}
 	}
-	p = &path{silentSince: map[vm.ID]time.Time{}, lost: make(chan struct{})}
+	p = newPath()
 	w.services[s] = p
 	return p
 }
@@ -86,7 +94,7 @@
 		return nil
 	}
 	p.isLost = false
-	p.lost = make(chan struct{})
+	p.lost, p.setLost = context.WithCancel(context.Background())
 	return []Change{{Service: s, LastResponseAt: now}}
 }
 
@@ -121,7 +129,7 @@
 			continue
 		}
 		p.isLost = true
-		close(p.lost)
+		p.setLost()
 		change := Change{Service: s, IsLost: true, LastResponseAt: p.lastResponseAt}
 		for id := range p.silentSince {
 			change.SilentTargets = append(change.SilentTargets, id)
@@ -172,8 +180,8 @@
 	return p != nil && p.isLost
 }
 
-// Lost returns a channel that is closed while the path to a service is lost.
-func (w *Watch) Lost(s service.Name) <-chan struct{} {
+// Lost returns a context that is done while the path to a service is lost.
+func (w *Watch) Lost(s service.Name) context.Context {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.pathTo(s).lost
@@ -192,6 +200,18 @@
 	return names
 }
 
+// ServicePath is the path to the targets of one service; it implements dispatch.Path.
+type ServicePath struct {
+	Watch   *Watch
+	Service service.Name
+}
+
+// IsLost reports whether the path is lost.
+func (p ServicePath) IsLost() bool { return p.Watch.IsLost(p.Service) }
+
+// Lost returns a context that is done while the path is lost.
+func (p ServicePath) Lost() context.Context { return p.Watch.Lost(p.Service) }
+
 // LostCount returns the number of services to whose targets the path is lost.
 func (w *Watch) LostCount() (n int) {
 	w.mu.Lock()
--- a/reach/watch_test.go
+++ b/reach/watch_test.go
@@ -31,7 +31,7 @@
 		t.Errorf("after the silence: got %+v, want the loss with the silent targets", changes)
 	}
 	select {
-	case <-w.Lost("a"):
+	case <-w.Lost("a").Done():
 	default:
 		t.Error("channel of the loss: got it open, want it closed")
 	}
--- /dev/null
+++ b/relay/protocol.go
@@ -0,0 +1,33 @@
+package relay
+
+import "github.com/apricotmount/apricotmount/wire"
+
+// Headers and path between nodes.
+const (
+	// headerInstance identifies the process of the receiving node on its responses.
+	headerInstance = "Apricot-Relay-Instance"
+	headerState    = "Apricot-Relay-State"
+	headerInFlight = "Apricot-Relay-In-Flight"
+	// headerRefused marks a response of a node that has not started the call.
+	headerRefused = "Apricot-Relay-Refused"
+	// headerTo carries the ID of the node that the call is meant for. A request with it
+	// is a relayed call.
+	headerTo = "Apricot-Relay-To"
+	// headerCaller carries the address of the caller.
+	headerCaller = "Apricot-Relay-Caller"
+
+	refusedBeforeStart = "before-start"
+	stateLive          = "live"
+	// probePath is the path by which a new connection to a node is verified.
+	probePath = "/relay"
+)
+
+// protocol returns the protocol between nodes. The remaining time of a call is in the header
+// in which the receiving node expects it from callers.
+func protocol(deadlineHeader string) wire.Protocol {
+	return wire.Protocol{
+		InstanceHeader: headerInstance, StateHeader: headerState, InFlightHeader: headerInFlight,
+		RefusalHeader: headerRefused, RefusalValue: refusedBeforeStart, DeadlineHeader: deadlineHeader,
+		LoadPath: probePath, ExpectHeader: headerTo,
+	}
+}
