Drop the end of a target that responds to another node

A node whose connections to targets are reset and refused took their processes for ended; calls that were open there three times were held back at the whole fleet.

A process that responds, between 0.05 and 1 s after its supposed end, to a node that asked it then has not ended. That node tells the others, and the end counts for no request any more. Later responses say nothing, since another process may have started under the same id.

--- a/event/event.go
+++ b/event/event.go
@@ -125,6 +125,7 @@
 	RequestSuspected = register(800, "request-suspected", zap.WarnLevel, "A target ended while a copy of a request was open at it. The field request holds its digest, the field ended the processes that ended under it so far and the nodes that saw it; own states whether this node did.")
 	RequestHeld      = register(801, "request-held", zap.ErrorLevel, "A request ended so many targets that no copy of it is sent any more, other than a few trials; the fields are those of request-suspected. Callers get reason quarantined.")
 	RequestTrial     = register(802, "request-trial", zap.WarnLevel, "A node sends one copy of a held request, as a trial; the field trials counts them. Its completion clears the request.")
+	EndRefuted       = register(804, "end-refuted", zap.InfoLevel, "A target that another node took for ended responded to this one: that node had lost its path to it, and the end counts against no request.")
 	RequestCleared   = register(803, "request-cleared", zap.InfoLevel, "A copy of a suspected request was completed, or an operator released it: it is sent like any other again.")
 )
 
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -251,3 +251,40 @@
 		t.Errorf("popular call afterwards: got %d, want 200", status)
 	}
 }
+
+// A node whose connections to the targets are reset and refused takes them for ended. The other
+// nodes know better, so the calls that were open there are not held against anyone.
+func TestPartedNodeBlamesNoCall(t *testing.T) {
+	c, paths := newPartableCluster(t, 3, 8)
+	const path = "/x/steady"
+	stop := make(chan struct{})
+	var calls sync.WaitGroup
+	for _, i := range []int{1, 2} {
+		calls.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+					c.get(i, fmt.Sprint("/x/other-", n))
+				}
+			}
+		})
+	}
+	for range 4 {
+		var open sync.WaitGroup
+		for range 8 {
+			open.Go(func() { c.get(0, path) })
+		}
+		time.Sleep(10 * time.Millisecond)
+		paths[0].setMode(platformtest.LinkClosed, true)
+		open.Wait()
+		paths[0].setMode(platformtest.LinkOpen, true)
+		time.Sleep(200 * time.Millisecond)
+	}
+	close(stop)
+	calls.Wait()
+	for i := range c.nodes {
+		c.waitFor(time.Second, "a node that serves the call", func() bool { status, _ := c.get(i, path); return status == http.StatusOK })
+	}
+}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -67,6 +67,7 @@
 	n.receiveLimits(m.Limits, now)
 	n.receiveLeft(m.Left, l, now)
 	n.receiveSuspects(m, l)
+	n.receiveAlive(m.Alive, l)
 }
 
 // receiveLeft records which nodes have begun a planned stop, and forwards what is new.
--- a/gateway/loadquery.go
+++ b/gateway/loadquery.go
@@ -107,5 +107,8 @@
 		return
 	}
 	u.node.recordContact(ref.Service)
+	if !u.node.quarantine.IsEmpty() && report.Instance == target.Instance(ref.ID) {
+		u.node.quarantine.RecordAlive(processOf(ref.ID, table.Incarnation(ref.ID)), startedAt)
+	}
 	table.RecordReport(ref.ID, now, report)
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -34,7 +34,11 @@
 // Process returns the process of an attempt. A VM may start again under its ID, with another
 // incarnation.
 func (f quarantineFleet) Process(r target.Reservation) quarantine.Process {
-	return quarantine.Process{Target: r.Ref.ID, Instance: target.Instance(strconv.FormatInt(r.Incarnation(), 10))}
+	return processOf(r.Ref.ID, r.Incarnation())
+}
+
+func processOf(id vm.ID, incarnation int64) quarantine.Process {
+	return quarantine.Process{Target: id, Instance: target.Instance(strconv.FormatInt(incarnation, 10))}
 }
 
 // HasEnded reports whether the process of an attempt has ended.
@@ -47,6 +51,12 @@
 	f.node.hub.Broadcast(peer.Message{Suspects: peer.NewSuspects(cases, time.Now())}, nil)
 }
 
+// AnnounceAlive sends to all peers that a process has not ended.
+func (f quarantineFleet) AnnounceAlive(p quarantine.Process) {
+	event.EndRefuted.Log(f.node.logger, zap.String("target", string(p.Target)))
+	f.node.hub.Broadcast(peer.Message{Alive: []peer.SuspectEnd{{Target: p.Target, Instance: p.Instance}}}, nil)
+}
+
 // CaseChanged logs a case in which something is new.
 func (f quarantineFleet) CaseChanged(c quarantine.Case, isOwn bool) {
 	var ended []string
@@ -79,6 +89,22 @@
 	}
 }
 
+// receiveAlive drops the ends of processes that have responded to a peer, and forwards what is
+// new.
+func (n *Node) receiveAlive(alive []peer.SuspectEnd, from *peer.Link) {
+	var processes []quarantine.Process
+	for _, a := range alive {
+		processes = append(processes, quarantine.Process{Target: a.Target, Instance: a.Instance})
+	}
+	var forwarded []peer.SuspectEnd
+	for _, p := range n.quarantine.Ledger.Refute(processes, time.Now()) {
+		forwarded = append(forwarded, peer.SuspectEnd{Target: p.Target, Instance: p.Instance})
+	}
+	if len(forwarded) > 0 {
+		n.hub.Broadcast(peer.Message{Alive: forwarded}, from)
+	}
+}
+
 // maxSuspectsPerState is the number of cases in one message of State, those of the latest
 // ends: the others have long reached every node, or do so when a link opens.
 const maxSuspectsPerState = 32
--- a/peer/message.go
+++ b/peer/message.go
@@ -119,6 +119,8 @@
 	Left []vm.ID `cbor:"15,keyasint,omitempty"`
 	// Suspects are requests that may end the targets that run them.
 	Suspects []Suspect `cbor:"16,keyasint,omitempty"`
+	// Alive are processes of targets that were taken for ended and have responded since.
+	Alive []SuspectEnd `cbor:"17,keyasint,omitempty"`
 }
 
 // Split divides the message into parts with at most maxPartRecords records and
@@ -180,7 +182,7 @@
 	if err := codec.Decode(b, &m); err != nil {
 		return Message{}, err
 	}
-	if len(m.Observations) > maxObservations || len(m.Limits) > maxObservations || len(m.Entries) > maxEntries || len(m.Withdrawals) > maxObservations || len(m.Records) > maxEntries || len(m.Nodes) > maxEntries || len(m.Left) > maxEntries || len(m.Suspects) > maxEntries {
+	if len(m.Observations) > maxObservations || len(m.Limits) > maxObservations || len(m.Entries) > maxEntries || len(m.Withdrawals) > maxObservations || len(m.Records) > maxEntries || len(m.Nodes) > maxEntries || len(m.Left) > maxEntries || len(m.Suspects) > maxEntries || len(m.Alive) > maxEntries {
 		return Message{}, eris.New("a list is too long")
 	}
 	return m, nil
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -20,6 +20,9 @@
 	HasEnded(ctx context.Context, r target.Reservation) bool
 	// Announce sends cases to the other nodes. It must not block.
 	Announce(cases []Case)
+	// AnnounceAlive sends to the other nodes that a process has not ended. It must not
+	// block.
+	AnnounceAlive(p Process)
 	// CaseChanged is called for each case in which something is new; isOwn reports whether
 	// this node has seen it itself. It must not block.
 	CaseChanged(c Case, isOwn bool)
@@ -72,6 +75,13 @@
 	g.publish(g.Ledger.RecordEnd(d, End{Process: g.Fleet.Process(r), At: lostAt, Witness: g.Fleet.Self()}))
 }
 
+// RecordAlive records that a process responded to a request that was sent at the given time.
+func (g *Guard) RecordAlive(p Process, sentAt time.Time) {
+	if !g.Ledger.IsEmpty() && g.Ledger.RecordAlive(p, sentAt) {
+		g.Fleet.AnnounceAlive(p)
+	}
+}
+
 // RecordCompletion records that a copy of a request was completed.
 func (g *Guard) RecordCompletion(d Digest) {
 	if g.Ledger.IsEmpty() {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -16,6 +16,9 @@
 
 	mu    sync.Mutex
 	cases map[Digest]*openCase
+	// refuted maps the processes that have responded after their supposed end to the time
+	// of the response.
+	refuted map[Process]time.Time
 }
 
 // openCase is a case with the copies of its request that this node has open.
@@ -152,7 +155,7 @@
 		if isNew {
 			c = l.addCase(received.Digest, now)
 		}
-		if c.merge(received) || isNew {
+		if c.merge(received, l.refuted) || isNew {
 			news = append(news, c.clone())
 		}
 	}
@@ -162,9 +165,12 @@
 // merge adds what another node knows, and reports whether anything was new. A completion
 // is new only if it refutes an end, so that the completions of a popular call are not passed
 // on and on.
-func (c *openCase) merge(received Case) (hasNew bool) {
+func (c *openCase) merge(received Case, refuted map[Process]time.Time) (hasNew bool) {
 	hasNew = c.complete(received.CompletedAt)
 	for _, e := range received.Ends {
+		if _, isRefuted := refuted[e.Process]; isRefuted {
+			continue
+		}
 		hasNew = c.addEnd(e) || hasNew
 	}
 	if received.TrialCount > c.TrialCount {
@@ -213,6 +219,11 @@
 		}
 	}
 	l.count.Store(int64(len(l.cases)))
+	for p, at := range l.refuted {
+		if now.Sub(at) > suspicionRetention {
+			delete(l.refuted, p)
+		}
+	}
 }
 
 // Expire removes the cases that can be forgotten. It should be called regularly.
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -204,3 +204,31 @@
 		t.Error("after the retention: got cases, want none")
 	}
 }
+
+// A node that lost its path takes processes for ended that respond to others.
+func TestEndIsRefutedByProcessThatResponds(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		elapsed time.Duration
+		want    Verdict
+	}{
+		{"sent before it can have ended", 10 * time.Millisecond, Held},
+		{"sent after the supposed end", 200 * time.Millisecond, Suspected},
+		{"sent so late that another process may have its ID", 3 * time.Second, Held},
+	} {
+		l, d := &Ledger{}, testDigest(1)
+		holdAt(l, d, testEpoch)
+		l.RecordAlive(Process{Target: "i-1"}, testEpoch.Add(tt.elapsed))
+		if got := l.Verdict(d); got != tt.want {
+			t.Errorf("%s: got verdict %s, want %s", tt.name, got, tt.want)
+		}
+	}
+	l, d := &Ledger{}, testDigest(1)
+	if news := l.Refute([]Process{{Target: "i-1"}}, testEpoch); len(news) != 1 {
+		t.Errorf("news of a living process: got %d, want 1", len(news))
+	}
+	holdAt(l, d, testEpoch)
+	if got := l.Verdict(d); got != Suspected {
+		t.Errorf("verdict with one refuted end of three: got %s, want suspected", got)
+	}
+}
--- a/target/table.go
+++ b/target/table.go
@@ -226,6 +226,16 @@
 	return c
 }
 
+// Incarnation returns the incarnation of a listed VM; zero if unknown.
+func (t *Table) Incarnation(id vm.ID) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.find(id); e != nil {
+		return e.incarnation
+	}
+	return 0
+}
+
 // Sample returns at most n targets, chosen at random, that accept work and have not asked for
 // a time without requests.
 func (t *Table) Sample(n int, now time.Time) (refs []Ref) {
