Test relayed calls at the edges, and show held requests and lost paths as gauges

A planned stop of the carrying node loses none of the calls, and with all nodes parted a call is refused within 0.7 s. A connection between nodes on which nothing was received for 0.5 s is not used again, as it may be silent. New gauges: requests_quarantined, paths_lost, calls_relayed.

--- a/gateway/node.go
+++ b/gateway/node.go
@@ -263,6 +263,7 @@
 		OperatorAgeSeconds: age(replica.Operator), TargetsAgeSeconds: age(replica.Targets),
 		NodeCount: len(n.state.fleetNodes(now)), PeerLinkCount: len(n.hub.Links()), HeldCallCount: n.upstreams.admission.HeldCount(),
 		LimitedTargetCount: n.upstreams.limitedTargetCount(now),
+		HeldRequestCount:   n.quarantine.Ledger.HeldCount(), LostPathCount: n.paths.LostCount(), RelayedCallCount: int(n.receiver.OpenCallCount()),
 	}
 }
 
--- a/gateway/parted_test.go
+++ b/gateway/parted_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -166,3 +167,59 @@
 		})
 	}
 }
+
+// The node that carries the calls of a parted one stops as planned, under load. All of them are
+// answered.
+func TestPlannedStopOfCarryingNodeLosesNoCall(t *testing.T) {
+	c, paths := newPartableCluster(t, 3, 8)
+	paths[0].setMode(platformtest.LinkSilent, false)
+	c.waitFor(waitTimeout, "calls that go through other nodes", func() bool { status, _ := c.get(0, "/x/1"); return status == http.StatusOK })
+	var stop sync.WaitGroup
+	stop.Go(func() {
+		time.Sleep(500 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+		defer cancel()
+		c.nodes[1].Stop(ctx)
+	})
+	var served, sent int
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for start := time.Now(); time.Since(start) < 3*time.Second; time.Sleep(4 * time.Millisecond) {
+		sent++
+		calls.Go(func() {
+			if status, _ := c.get(0, "/x/1"); status == http.StatusOK {
+				mu.Lock()
+				defer mu.Unlock()
+				served++
+			}
+		})
+	}
+	calls.Wait()
+	stop.Wait()
+	if served != sent {
+		t.Errorf("calls of the parted node that were served: got %d of %d, want all", served, sent)
+	}
+}
+
+// All nodes are parted from all targets: a call is refused soon and with a time, whichever
+// node it arrives at.
+func TestCallIsRefusedSoonWhenAllNodesAreParted(t *testing.T) {
+	c, paths := newPartableCluster(t, 3, 8)
+	for _, p := range paths {
+		p.setMode(platformtest.LinkSilent, false)
+	}
+	c.loadAll(2*time.Second, 10*time.Millisecond)
+	for i := range c.nodes {
+		start := time.Now()
+		status, h := c.get(i, "/x/1")
+		if elapsed := time.Since(start); status != http.StatusServiceUnavailable || h.Get("Retry-After") == "" || elapsed > 700*time.Millisecond {
+			t.Errorf("node %d: got %d with Retry-After %q after %s, want 503 with a time at once", i, status, h.Get("Retry-After"), elapsed)
+		}
+	}
+	for _, p := range paths {
+		p.setMode(platformtest.LinkOpen, true)
+	}
+	for i := range c.nodes {
+		c.waitFor(2*time.Second, "a node that serves again", func() bool { status, _ := c.get(i, "/x/1"); return status == http.StatusOK })
+	}
+}
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -46,6 +46,10 @@
 	NodeCount, PeerLinkCount, HeldCallCount int
 	// LimitedTargetCount is the number of targets with a rate limit.
 	LimitedTargetCount int
+	// HeldRequestCount is the number of requests that are held back, LostPathCount that of
+	// services to whose targets this node has no path, and RelayedCallCount that of calls in
+	// progress for other nodes.
+	HeldRequestCount, LostPathCount, RelayedCallCount int
 }
 
 // LimitedResult is what became of a call whose targets name rate limits.
@@ -112,7 +116,8 @@
 		"ready": boolGauge(s.IsReady), "reading": boolGauge(s.IsStoreReader), "plan_version": float64(s.PlanVersion), "plan_age_seconds": s.PlanAgeSeconds,
 		"operator_age_seconds": s.OperatorAgeSeconds, "targets_age_seconds": s.TargetsAgeSeconds,
 		"nodes": float64(s.NodeCount), "peer_links": float64(s.PeerLinkCount), "calls_held": float64(s.HeldCallCount),
-		"targets_limited": float64(s.LimitedTargetCount),
+		"targets_limited": float64(s.LimitedTargetCount), "requests_quarantined": float64(s.HeldRequestCount),
+		"paths_lost": float64(s.LostPathCount), "calls_relayed": float64(s.RelayedCallCount),
 	} {
 		g.scope.Gauge(name).Update(value)
 	}
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -31,6 +31,9 @@
 	dialTimeout = 400 * time.Millisecond
 	// idleTimeout is the idle timeout of connections to nodes.
 	idleTimeout = 5 * time.Second
+	// maxReadAge is the time since data was last received on a connection from which it is
+	// replaced: it may have gone silent.
+	maxReadAge = 500 * time.Millisecond
 	// retryTokensPerCall and retryBurst bound the calls that are sent again because the
 	// node that they were sent to is lost.
 	retryTokensPerCall = 0.1
@@ -124,7 +127,7 @@
 	if p := s.pools[ref.ID]; p != nil && p.Ref.Address == ref.Address {
 		return p
 	}
-	p := wire.NewPool(ref, wire.Settings{Protocol: s.protocol, DialTimeout: dialTimeout, IdleTimeout: idleTimeout}, slotsPerNode, 0, nil, s)
+	p := wire.NewPool(ref, wire.Settings{Protocol: s.protocol, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxReadAge: maxReadAge, RequireRecentRead: true}, slotsPerNode, 0, nil, s)
 	s.pools[ref.ID] = p
 	return p
 }
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -22,6 +22,9 @@
 	// connection for it to be used by a call that requires a recent read.
 	// Default 100 ms.
 	MaxReadAge time.Duration
+	// RequireRecentRead makes every call require a recent read, so that a connection that
+	// went silent is not used again.
+	RequireRecentRead bool
 	// IdleTimeout is the time after which an idle connection is closed. Default
 	// 20 s.
 	IdleTimeout time.Duration
@@ -115,7 +118,7 @@
 // idle connection is used only if data was received on it within
 // Settings.MaxReadAge; a new one has just received the response to its probe.
 func (p *Pool) Get(ctx context.Context, requireRecentRead bool) (c *Conn, err error) {
-	if c := p.takeIdle(requireRecentRead); c != nil {
+	if c := p.takeIdle(requireRecentRead || p.settings.RequireRecentRead); c != nil {
 		return c, nil
 	}
 	c, _, err = p.open(ctx)
