Move the exchange of suspects and the end check out of the gateway

Package suspects sends and receives the evidence of a quarantine, package wire checks whether a process has ended (once for all calls at a target), and the gateway wires them.

--- a/gateway/links.go
+++ b/gateway/links.go
@@ -39,7 +39,7 @@
 // rotation.
 func (d peerDelegate) State() peer.Message {
 	now := time.Now()
-	m := peer.Message{Marks: d.node.state.marks(now, replica.Operator, replica.Targets), Suspects: d.node.recentSuspects(now)}
+	m := peer.Message{Marks: d.node.state.marks(now, replica.Operator, replica.Targets), Suspects: d.node.suspects.Recent(now)}
 	if !d.node.isLeaving.Load() {
 		m.Sender, m.KnownNodeCount = &d.node.self, len(d.node.state.fleetNodes(now))
 	}
@@ -66,8 +66,7 @@
 	n.receiveMarks(m.Marks, l, now)
 	n.receiveLimits(m.Limits, now)
 	n.receiveLeft(m.Left, l, now)
-	n.receiveSuspects(m, l)
-	n.receiveAlive(m.Alive, l)
+	n.suspects.Receive(m, l)
 }
 
 // receiveLeft records which nodes have begun a planned stop, and forwards what is new.
@@ -187,7 +186,7 @@
 // LinkUp logs that a link was opened, and sends the suspected requests over it.
 func (d peerDelegate) LinkUp(l *peer.Link) {
 	event.PeerUp.Log(d.node.logger)
-	d.node.sendSuspects(l)
+	d.node.suspects.SendAll(l)
 }
 
 // LinkDown logs that a link was closed.
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -27,6 +27,7 @@
 	"github.com/apricotmount/apricotmount/reach"
 	"github.com/apricotmount/apricotmount/relay"
 	"github.com/apricotmount/apricotmount/replica"
+	"github.com/apricotmount/apricotmount/suspects"
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/vm"
 )
@@ -67,6 +68,7 @@
 	handler    *entry.Handler
 	hub        *peer.Hub
 	quarantine *quarantine.Guard
+	suspects   *suspects.Exchange
 	paths      reach.Watch
 	sender     *relay.Sender
 	receiver   *relay.Receiver
@@ -129,7 +131,7 @@
 	}}
 	n.state = newNodeState(d.Decoder, n.self, n.logger)
 	n.upstreams = newUpstreams(n)
-	n.quarantine = &quarantine.Guard{Fleet: quarantineFleet{n}}
+	n.quarantine = &quarantine.Guard{Node: quarantineNode{n}}
 	n.gatewayMetrics = metrics.NewGateway(d.Metrics.Scope)
 	n.callMetrics = metrics.NewCalls(d.Metrics.Scope)
 	n.handler = &entry.Handler{
@@ -146,6 +148,8 @@
 		Settings: peer.Settings{StateInterval: linkStateInterval, DialTimeout: dialTimeout, IdleTimeout: linkIdleTimeout, MaxLinks: maxLinks, CloseUnlisted: true},
 	}
 	n.hub.SetDialAll(true)
+	n.suspects = &suspects.Exchange{Hub: n.hub, Guard: n.quarantine, Logger: n.logger}
+	n.quarantine.Peers = n.suspects
 	n.initRelay()
 	return n
 }
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -62,8 +63,6 @@
 	roundRobins map[string]*weightedRoundRobin
 	// openQueries maps a target to a channel that is closed when its open load query ends.
 	openQueries map[vm.ID]chan struct{}
-
-	endChecks endChecks
 }
 
 // activeConfig is a plan with the state of its services; it is immutable.
@@ -268,6 +267,20 @@
 	}
 }
 
+// hasEnded reports whether a target's process has ended, other than by a planned stop, after
+// the response to a call was lost there.
+func (u *upstreams) hasEnded(ctx context.Context, ref target.Ref) bool {
+	s, pool := u.active.Load().services[ref.Service], u.Pool(ref)
+	if s == nil || pool == nil || s.dispatch.Table.IsLeaving(ref.ID) {
+		return false
+	}
+	hasEnded := pool.HasEnded(ctx, target.Instance(ref.ID))
+	if hasEnded {
+		event.TargetEnded.Log(u.node.logger, zap.String("service", string(ref.Service)), zap.String("target", string(ref.ID)))
+	}
+	return hasEnded
+}
+
 // closeIdleConns closes the connections to targets that have reached targetIdleTimeout.
 func (u *upstreams) closeIdleConns(now time.Time) {
 	u.mu.Lock()
--- a/quarantine/case.go
+++ b/quarantine/case.go
@@ -121,6 +121,12 @@
 	}
 }
 
+// IsOnTrial reports whether the last thing that happened to a held request is that a trial was
+// taken.
+func (c *Case) IsOnTrial() bool {
+	return c.TrialCount > 0 && len(c.Ends) < int(Held)+c.TrialCount
+}
+
 // clone returns a copy that shares no memory with the case.
 func (c *Case) clone() Case {
 	copied := *c
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -8,8 +8,8 @@
 	"github.com/apricotmount/apricotmount/vm"
 )
 
-// Fleet is what a Guard needs of its node.
-type Fleet interface {
+// Node is what a Guard needs of its node.
+type Node interface {
 	// Self returns the ID of the node, and NodeIDs those of all nodes of the fleet.
 	Self() vm.ID
 	NodeIDs() []vm.ID
@@ -18,20 +18,20 @@
 	// HasEnded reports whether that process has ended other than by a planned stop. It may
 	// wait for a connection.
 	HasEnded(ctx context.Context, r target.Reservation) bool
-	// Announce sends cases to the other nodes. It must not block.
+}
+
+// Peers sends evidence to the other nodes. Its methods must not block.
+type Peers interface {
 	Announce(cases []Case)
-	// AnnounceAlive sends to the other nodes that a process has not ended. It must not
-	// block.
+	// AnnounceAlive announces that a process has not ended.
 	AnnounceAlive(p Process)
-	// CaseChanged is called for each case in which something is new; isOwn reports whether
-	// this node has seen it itself. It must not block.
-	CaseChanged(c Case, isOwn bool)
 }
 
 // Guard applies the evidence of the fleet to the calls of one node. Its methods are safe for
 // concurrent use.
 type Guard struct {
-	Fleet  Fleet
+	Node   Node
+	Peers  Peers
 	Ledger Ledger
 }
 
@@ -44,7 +44,7 @@
 // called when the copy has ended.
 func (g *Guard) Admit(d Digest) Admission {
 	a := g.Ledger.Admit(d, time.Now(), func(trialCount int) time.Duration {
-		return TrialTurn(g.Fleet.Self(), g.Fleet.NodeIDs(), d, trialCount)
+		return TrialTurn(g.Node.Self(), g.Node.NodeIDs(), d, trialCount)
 	})
 	if c, ok := g.Ledger.Case(d); ok && a.IsTrial {
 		g.publish([]Case{c})
@@ -69,16 +69,16 @@
 // It returns once it is known whether the process has ended.
 func (g *Guard) RecordLoss(ctx context.Context, d Digest, r target.Reservation) {
 	lostAt := time.Now()
-	if !g.Fleet.HasEnded(ctx, r) {
+	if !g.Node.HasEnded(ctx, r) {
 		return
 	}
-	g.publish(g.Ledger.RecordEnd(d, End{Process: g.Fleet.Process(r), At: lostAt, Witness: g.Fleet.Self()}))
+	g.publish(g.Ledger.RecordEnd(d, End{Process: g.Node.Process(r), At: lostAt, Witness: g.Node.Self()}))
 }
 
 // RecordAlive records that a process responded to a request that was sent at the given time.
 func (g *Guard) RecordAlive(p Process, sentAt time.Time) {
 	if !g.Ledger.IsEmpty() && g.Ledger.RecordAlive(p, sentAt) {
-		g.Fleet.AnnounceAlive(p)
+		g.Peers.AnnounceAlive(p)
 	}
 }
 
@@ -99,23 +99,7 @@
 
 // publish announces cases in which this node has seen something new.
 func (g *Guard) publish(news []Case) {
-	if len(news) == 0 {
-		return
-	}
-	for _, c := range news {
-		g.Fleet.CaseChanged(c, true)
-	}
-	g.Fleet.Announce(news)
-}
-
-// Receive adds what another node knows, and returns what is new for the others.
-func (g *Guard) Receive(cases []Case) (news []Case) {
-	if len(cases) == 0 {
-		return nil
-	}
-	news = g.Ledger.Merge(cases, time.Now())
-	for _, c := range news {
-		g.Fleet.CaseChanged(c, false)
+	if len(news) > 0 {
+		g.Peers.Announce(news)
 	}
-	return news
 }
--- /dev/null
+++ b/wire/ended_test.go
@@ -0,0 +1,76 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/apricotmount/apricotmount/target"
+	"github.com/apricotmount/apricotmount/vm"
+)
+
+// endTestProtocol names the instance on each response.
+var endTestProtocol = Protocol{InstanceHeader: "Instance", StateHeader: "State", LoadPath: "/load"}
+
+type ignoredReports struct{}
+
+func (ignoredReports) ConnVerified(target.Ref, target.Report) {}
+func (ignoredReports) LastConnLost(target.Ref)                {}
+
+func hasEnded(address string) bool {
+	ref := target.Ref{ID: "i-1", Address: vm.Address(address)}
+	p := NewPool(ref, Settings{Protocol: endTestProtocol}, 4, 0, nil, ignoredReports{})
+	defer p.Close()
+	return p.HasEnded(context.Background(), "i-1")
+}
+
+func TestEndOfProcessIsToldFromBrokenConnection(t *testing.T) {
+	respondAs := func(id string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance", id) }))
+		t.Cleanup(s.Close)
+		return s.Listener.Addr().String()
+	}
+	listen := func(serve func(net.Conn)) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				serve(c)
+			}
+		}()
+		return l.Addr().String()
+	}
+	refusing, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing.Close()
+	for _, tt := range []struct {
+		name, address string
+		want          bool
+	}{
+		{"the process responds", respondAs("i-1"), false},
+		{"another process responds", respondAs("i-2"), true},
+		{"connections are refused", refusing.Addr().String(), true},
+		{"connections are closed at once", listen(func(c net.Conn) { c.Close() }), true},
+		{"connections are silent", listen(func(net.Conn) {}), false},
+	} {
+		start := time.Now()
+		if got := hasEnded(tt.address); got != tt.want {
+			t.Errorf("%s: got ended %t, want %t", tt.name, got, tt.want)
+		}
+		if elapsed := time.Since(start); elapsed > 2*endCheckTimeout {
+			t.Errorf("%s: got a result after %s, want one within %s", tt.name, elapsed, endCheckTimeout)
+		}
+	}
+}
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -93,6 +93,8 @@
 	// dialling is the number of connections being opened or verified.
 	dialling int
 	isClosed bool
+	// endCheck is the open check whether the process has ended; nil if there is none.
+	endCheck *endCheck
 }
 
 // NewPool returns an empty pool of at most limit connections, at least one.
