--- a/cmd/apricotctl/main.go
+++ b/cmd/apricotctl/main.go
@@ -25,6 +25,7 @@
 	Config      *configCommand      `arg:"subcommand:config" help:"print the active configuration of a node"`
 	Status      *statusCommand      `arg:"subcommand:status" help:"print the status of a node and its view of the other nodes"`
 	Targets     *targetsCommand     `arg:"subcommand:targets" help:"print a node's view of the targets"`
+	Quarantine  *quarantineCommand  `arg:"subcommand:quarantine" help:"print the requests that are held back because they end targets, or release one"`
 	Standin     *standinCommand     `arg:"subcommand:standin" help:"serve stand-ins of the platform and of targets on loopback"`
 	Load        *loadCommand        `arg:"subcommand:load" help:"send calls through running nodes and count their outcomes"`
 	Fault       *faultCommand       `arg:"subcommand:fault" help:"inject or clear a fault in a running stand-in"`
--- a/node/delegate.go
+++ b/node/delegate.go
@@ -27,6 +27,7 @@
 		Entries:      d.node.members.NextEntries(maxEntriesPerMessage),
 		Observations: d.node.observations.recentObservations(now),
 		Withdrawals:  d.node.services.unexpiredWithdrawals(now),
+		Suspects:     d.node.suspects.Recent(now),
 	}
 }
 
@@ -45,6 +46,7 @@
 	n.receiveLeaseMessages(m, l)
 	n.receiveObservations(m.Observations, l)
 	n.receiveWithdrawals(m.Withdrawals, l)
+	n.suspects.Receive(m, l)
 }
 
 // installPeerConfig installs an encoded whole configuration from a peer if it is
@@ -85,6 +87,7 @@
 // LinkUp logs a new link. A node without a configuration requests it over the link.
 func (d peerDelegate) LinkUp(l *peer.Link) {
 	event.PeerUp.Log(d.node.logger)
+	d.node.suspects.SendAll(l)
 	if !d.node.configState.HasConfiguration() {
 		l.Send(peer.Message{WantConfig: true})
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -25,8 +25,10 @@
 	"github.com/apricotmount/apricotmount/metrics"
 	"github.com/apricotmount/apricotmount/operator"
 	"github.com/apricotmount/apricotmount/peer"
+	"github.com/apricotmount/apricotmount/quarantine"
 	"github.com/apricotmount/apricotmount/settings"
 	"github.com/apricotmount/apricotmount/stream"
+	"github.com/apricotmount/apricotmount/suspects"
 	"github.com/apricotmount/apricotmount/vm"
 )
 
@@ -53,6 +55,8 @@
 	callerHandler   *entry.Handler
 	hub             *peer.Hub
 	observations    *observationStore
+	quarantine      *quarantine.Guard
+	suspects        *suspects.Exchange
 
 	configFollower, claimFollower, leaseFollower *stream.Follower
 
@@ -94,6 +98,7 @@
 	}
 	n.callerHandler.Dispatcher.ExtraAttemptCounter = n.callerHandler.Metrics
 	n.hub = &peer.Hub{Delegate: peerDelegate{n}, Self: self.Incarnation, Settings: peer.Settings{Token: s.PeerToken}, Addresses: n.peerAddresses}
+	n.initQuarantine()
 	n.initFollowers()
 	return n
 }
--- a/node/probe.go
+++ b/node/probe.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/quarantine"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/target"
 )
@@ -48,16 +49,23 @@
 	if pool == nil {
 		return
 	}
+	startedAt := time.Now()
 	report, err := pool.Probe(ctx)
 	if err != nil {
 		event.MeasuringForgone.Log(n.logger, zap.String("target", string(ref.ID)), zap.String("cause", eris.Cause(err).Error()))
 		report = target.Report{}
 	}
+	if report.Instance != "" {
+		n.quarantine.RecordAlive(quarantine.Process{Target: ref.ID, Instance: report.Instance}, startedAt)
+	}
 	svc.Table.RecordReport(ref.ID, time.Now(), report)
 }
 
-// maintainConnections periodically applies the current connection limits and closes
-// connections that have been idle for too long.
+// maintainConnections periodically applies the current connection limits, closes
+// connections that have been idle for too long and forgets expired suspicions.
 func (n *Node) maintainConnections(ctx context.Context) {
-	runPeriodically(ctx, connMaintenanceInterval, func() { n.services.maintainConnections(time.Now()) })
+	runPeriodically(ctx, connMaintenanceInterval, func() {
+		n.services.maintainConnections(time.Now())
+		n.quarantine.Ledger.Expire(time.Now())
+	})
 }
--- a/operator/api.go
+++ b/operator/api.go
@@ -36,6 +36,11 @@
 	// Withdraw starts or ends a temporary withdrawal of an availability zone. It
 	// returns faults if the request is invalid.
 	Withdraw(w WithdrawalRequest) (TemporaryWithdrawal, fault.List)
+	// Quarantine returns the requests that are suspected to end targets.
+	Quarantine() []SuspectedRequest
+	// Release makes a suspected request be sent like any other again, at all nodes. It
+	// returns faults if the request is invalid or not suspected.
+	Release(r ReleaseRequest) fault.List
 }
 
 // api implements the HTTP handlers for one node.
@@ -59,6 +64,8 @@
 	v1.Get("/status", a.status)
 	v1.Get("/targets", a.targets)
 	v1.Post("/withdrawals", a.withdraw)
+	v1.Get("/quarantine", a.quarantine)
+	v1.Post("/quarantine/releases", a.release)
 	if err := app.Build(); err != nil {
 		return nil, err
 	}
@@ -123,6 +130,22 @@
 	writeJSON(ctx, http.StatusOK, withdrawal)
 }
 
+func (a api) quarantine(ctx iris.Context) { writeJSON(ctx, http.StatusOK, a.node.Quarantine()) }
+
+func (a api) release(ctx iris.Context) {
+	var r ReleaseRequest
+	err := decodeBody(ctx, &r)
+	faults := fault.FromError(err)
+	if err == nil {
+		faults = a.node.Release(r)
+	}
+	if len(faults) > 0 {
+		writeJSON(ctx, http.StatusUnprocessableEntity, Response{Result: Refused, Reason: "the request is faulty", Faults: faults})
+		return
+	}
+	writeJSON(ctx, http.StatusOK, r)
+}
+
 // decodeBody decodes the request body. The error is a fault.List that includes
 // unknown keys.
 func decodeBody(ctx iris.Context, v any) error {
--- a/operator/client.go
+++ b/operator/client.go
@@ -72,6 +72,21 @@
 	return v, err
 }
 
+// Quarantine returns the requests that the node suspects to end targets.
+func (c *Client) Quarantine(ctx context.Context) (v []SuspectedRequest, err error) {
+	err = c.do(ctx, http.MethodGet, "/v1/quarantine", nil, &v)
+	return v, err
+}
+
+// Release makes a suspected request be sent like any other again.
+func (c *Client) Release(ctx context.Context, r ReleaseRequest) (err error) {
+	b, err := json.Marshal(r)
+	if err != nil {
+		return eris.Wrap(err, "encode a release")
+	}
+	return c.do(ctx, http.MethodPost, "/v1/quarantine/releases", b, &ReleaseRequest{})
+}
+
 // RefusedError is the error for a request that the node refused.
 type RefusedError struct {
 	Response Response
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+
+	"github.com/rotisserie/eris"
 )
 
 // Digest identifies a request apart from its ID and deadline. All copies of a request
@@ -16,6 +18,16 @@
 	return hex.EncodeToString(d[:])
 }
 
+// ParseDigest parses a digest as String returns it.
+func ParseDigest(text string) (d Digest, err error) {
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != len(d) {
+		return Digest{}, eris.Errorf("%q is not a digest of %d hexadecimal digits", text, 2*len(d))
+	}
+	copy(d[:], b)
+	return d, nil
+}
+
 // Request is what identifies a request. Body is the whole body or, of a long one, its
 // beginning; BodyLength is its declared length in bytes, -1 if there is none.
 type Request struct {
