Send a call on that reaches none of several targets, before the path counts as lost

In the 0.3 s until a reset path counts as lost, calls that had tried four targets were refused with connect-failed. While six targets were silent and none has responded since, such a call goes through another node now.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -115,6 +115,9 @@
 // Path states whether a node has a path to the targets of a service.
 type Path interface {
 	IsLost() bool
+	// IsInDoubt reports whether as many targets were silent as for a lost path, and none
+	// has responded since.
+	IsInDoubt() bool
 	// Lost returns a context that is done while the path is lost.
 	Lost() context.Context
 }
--- a/dispatch/path.go
+++ b/dispatch/path.go
@@ -24,7 +24,10 @@
 // canForward reports whether a call that ends for the given reason may be sent through
 // another node. It charges the retry if a copy may have run.
 func (r *run) canForward(reason outcome.Reason) bool {
-	if reason != outcome.PathLost || !r.call.BodyReplayable && r.hasAttempted {
+	// A call that reached none of several targets need not wait until the path is known to
+	// be lost.
+	isParted := reason == outcome.PathLost || reason == outcome.ConnectFailed && r.service.Path != nil && r.service.Path.IsInDoubt()
+	if !isParted || !r.call.BodyReplayable && r.hasAttempted {
 		return false
 	}
 	return !r.mayHaveRun || r.chargeRetry()
--- a/reach/watch.go
+++ b/reach/watch.go
@@ -139,9 +139,14 @@
 	return changes
 }
 
-// isSilent reports whether enough targets of one service have been silent for long enough.
+// isInDoubt reports whether enough targets of one service have been silent.
+func (p *path) isInDoubt() bool {
+	return len(p.silentSince) >= max(1, min(minSilentTargets, p.targetCount))
+}
+
+// isSilent reports whether they have been for long enough.
 func (p *path) isSilent(now time.Time) bool {
-	return len(p.silentSince) >= max(1, min(minSilentTargets, p.targetCount)) && now.Sub(earliest(p.silentSince)) >= minSilence
+	return p.isInDoubt() && now.Sub(earliest(p.silentSince)) >= minSilence
 }
 
 // isAllSilent reports whether targets of several services have been silent, and no target of
@@ -180,6 +185,14 @@
 	return p != nil && p.isLost
 }
 
+// IsInDoubt reports whether the path is lost, or may be found to be so shortly.
+func (w *Watch) IsInDoubt(s service.Name) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.services[s]
+	return p != nil && (p.isLost || p.isInDoubt())
+}
+
 // Lost returns a context that is done while the path to a service is lost.
 func (w *Watch) Lost(s service.Name) context.Context {
 	w.mu.Lock()
@@ -209,6 +222,9 @@
 // IsLost reports whether the path is lost.
 func (p ServicePath) IsLost() bool { return p.Watch.IsLost(p.Service) }
 
+// IsInDoubt reports whether the path is lost, or may be found to be so shortly.
+func (p ServicePath) IsInDoubt() bool { return p.Watch.IsInDoubt(p.Service) }
+
 // Lost returns a context that is done while the path is lost.
 func (p ServicePath) Lost() context.Context { return p.Watch.Lost(p.Service) }
 
--- a/relay/lost_test.go
+++ b/relay/lost_test.go
@@ -13,7 +13,8 @@
 // lostPath is a path that is lost all the time.
 type lostPath struct{}
 
-func (lostPath) IsLost() bool { return true }
+func (lostPath) IsLost() bool    { return true }
+func (lostPath) IsInDoubt() bool { return true }
 
 func (lostPath) Lost() context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
