--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -69,11 +69,14 @@
 	h, sender := newSendingHandler(t, false)
 	var got atomic.Pointer[http.Request]
 	refuses := startReceiver(t, "node-1", func() bool { return false }, nil)
+	earlierBuild := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(earlierBuild.Close)
+	unaware := vm.VM{ID: "node-0", Address: vm.Address(earlierBuild.Listener.Addr().String()), Zone: "east", Role: vm.RoleEntry}
 	takes := startReceiver(t, "node-2", always, func(w http.ResponseWriter, r *http.Request) {
 		got.Store(r)
 		w.WriteHeader(http.StatusCreated)
 	})
-	sender.SetNodes([]vm.VM{{ID: "self"}, refuses, takes}, "self", time.Now())
+	sender.SetNodes([]vm.VM{{ID: "self"}, unaware, refuses, takes}, "self", time.Now())
 	for range 4 {
 		if w := post(h, "body"); w.Code != http.StatusCreated {
 			t.Fatalf("status: got %d, want that of the node that takes the call", w.Code)
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -127,7 +127,7 @@
 	if p := s.pools[ref.ID]; p != nil && p.Ref.Address == ref.Address {
 		return p
 	}
-	p := wire.NewPool(ref, wire.Settings{Protocol: s.protocol, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxReadAge: maxReadAge, RequireRecentRead: true}, slotsPerNode, 0, nil, s)
+	p := wire.NewPool(ref, wire.Settings{Protocol: s.protocol, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxReadAge: maxReadAge, RequireRecentRead: true, RequireInstance: true}, slotsPerNode, 0, nil, s)
 	s.pools[ref.ID] = p
 	return p
 }
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -25,6 +25,9 @@
 	// RequireRecentRead makes every call require a recent read, so that a connection that
 	// went silent is not used again.
 	RequireRecentRead bool
+	// RequireInstance rejects a connection whose probe names no instance: whoever responds
+	// does not know the protocol.
+	RequireInstance bool
 	// IdleTimeout is the time after which an idle connection is closed. Default
 	// 20 s.
 	IdleTimeout time.Duration
@@ -64,6 +67,7 @@
 	// each new connection needs.
 	ErrProbeBudget = eris.New("the probe budget is exhausted")
 
+	errNoInstance = eris.New("the response to the probe names no instance")
 	errPoolClosed = eris.New("the pool is closed")
 )
 
@@ -169,6 +173,9 @@
 		return nil, report, errPoolClosed
 	}
 	report, err = p.sendProbe(ctx, c)
+	if err == nil && p.settings.RequireInstance && report.Instance == "" {
+		err = errNoInstance
+	}
 	if err != nil {
 		p.put(c, false)
 		return nil, report, eris.Wrapf(err, "verify a connection to %s", p.Ref.ID)
