Let the soak send harmful requests, and check how often they run

A caller whose request ends each target that runs it, beside all other faults; targets return as new instances at the same address. Checked: at most three copies that undisturbed nodes send run later than 3 s after the third crash. A first form of the stand-in answered before it ended its target, which rightly cleared the request, and was reported by the check.

--- a/cmd/apricotctl/soak.go
+++ b/cmd/apricotctl/soak.go
@@ -22,6 +22,7 @@
 	FaultDuration time.Duration `arg:"--faults" default:"15s" help:"duration of the phase in which faults are injected"`
 	ConfigTimeout time.Duration `arg:"--in-force" default:"2.5s" help:"maximum duration until a configuration is active at all nodes in the absence of faults"`
 	FaultNames    []string      `arg:"--only,separate" help:"name of a fault to draw from, such as stop; repeat it for several [default: all]"`
+	Harmful       bool          `arg:"--harmful" help:"add a caller whose requests end the targets that run them"`
 	Verbose       bool          `arg:"--verbose" help:"print the progress of each run"`
 }
 
@@ -57,7 +58,7 @@
 	}
 	settings := soak.Settings{
 		Program: c.Program, Args: []string{"platform"}, Seed: seed, NodeCount: c.NodeCount, TargetCount: c.TargetCount,
-		CallerCount: c.CallerCount, FaultDuration: c.FaultDuration, FaultNames: c.FaultNames, ConfigTimeout: c.ConfigTimeout, Dir: dir,
+		CallerCount: c.CallerCount, FaultDuration: c.FaultDuration, FaultNames: c.FaultNames, ConfigTimeout: c.ConfigTimeout, Harmful: c.Harmful, Dir: dir,
 	}
 	if c.Verbose {
 		settings.Progress = os.Stdout
--- a/cmd/apricotmount/soak_test.go
+++ b/cmd/apricotmount/soak_test.go
@@ -127,3 +127,17 @@
 		t.Error(finding)
 	}
 }
+
+// Copies of a harmful request that no node can know as one must be reported by the check.
+func TestSoakDetectsHarmfulRequestThatIsNotHeldBack(t *testing.T) {
+	result := runSoak(t, soak.Settings{Seed: 31001, NodeCount: 3, TargetCount: 6, CallerCount: 4, FaultDuration: 8 * time.Second, FaultNames: []string{"plan"}, Harmful: true, DistinctCopies: true})
+	wantFinding(t, result, "harmful-request")
+}
+
+// A harmful request is held back by nodes that are killed and stopped, beside other faults.
+func TestSoakHoldsBackHarmfulRequest(t *testing.T) {
+	result := runSoak(t, soak.Settings{Seed: 31011, NodeCount: 4, TargetCount: 8, CallerCount: 4, FaultDuration: 12 * time.Second, FaultNames: []string{"kill", "stop", "plan", "peer-links"}, Harmful: true})
+	if len(result.Findings) > 0 {
+		t.Errorf("findings: got %q, want none", result.Findings)
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -41,6 +41,9 @@
 	// concurrent callers.
 	FaultDuration time.Duration
 	CallerCount   int
+	// Harmful adds a caller whose requests end the targets that run them. With
+	// DistinctCopies each copy is another request, so that no node can know it.
+	Harmful, DistinctCopies bool
 	// ConfigTimeout is how long a configuration may take to become active at all nodes
 	// when there is no fault. The default, propagationLimit, leaves time for slow machines.
 	ConfigTimeout time.Duration
@@ -99,6 +102,7 @@
 	version int
 	// zonesOut holds the withdrawal time of each zone that is out of service.
 	zonesOut    map[string]time.Time
+	harmful     map[string]*harmfulRequest
 	faultCounts map[string]int
 	// sequence is the sequence number of the last target record in the store.
 	sequence atomic.Int64
@@ -118,7 +122,7 @@
 	if err := s.check(); err != nil {
 		return Result{}, err
 	}
-	h := &harness{settings: s, rng: rand.New(rand.NewPCG(s.Seed, s.Seed)), store: &platformtest.Store{SoleMembers: s.SoleMembers}, recorder: newRecorder(), faultCounts: map[string]int{}, zonesOut: map[string]time.Time{}}
+	h := &harness{settings: s, rng: rand.New(rand.NewPCG(s.Seed, s.Seed)), store: &platformtest.Store{SoleMembers: s.SoleMembers}, recorder: newRecorder(), faultCounts: map[string]int{}, zonesOut: map[string]time.Time{}, harmful: map[string]*harmfulRequest{}}
 	defer h.close()
 	if err := h.build(); err != nil {
 		return Result{}, err
@@ -131,7 +135,15 @@
 	for i := range s.CallerCount {
 		callers.Go(func() { h.sendCalls(callCtx, rand.New(rand.NewPCG(s.Seed, uint64(i+1)))) })
 	}
-	if err := h.injectFaults(ctx); err != nil {
+	harmfulCtx, stopHarmful := context.WithCancel(callCtx)
+	var harmful sync.WaitGroup
+	if s.Harmful {
+		harmful.Go(func() { h.sendHarmful(harmfulCtx, rand.New(rand.NewPCG(s.Seed, 0))) })
+	}
+	err = h.injectFaults(ctx)
+	stopHarmful()
+	harmful.Wait()
+	if err != nil {
 		stop()
 		return Result{}, err
 	}
--- a/soak/target.go
+++ b/soak/target.go
@@ -183,6 +183,7 @@
 	if n == nil {
 		return
 	}
+	h.runHarmful(t, id, n)
 	h.mu.Lock()
 	leftAt, zoneOutAt := t.leftAt, h.zonesOut[t.zone]
 	h.mu.Unlock()
