Answer requests that wait unread on kept connections when a node stops

Cause, by reading and by a test: the drain closed all connections that were idle as the server saw them; on a VM that is short of processor time a request may have arrived long before the process reads it. Closing resets it.

The drain asks the system whether bytes wait on a connection before it closes it, again and again until none is left, and so does the closing of connections that were idle for too long. Responses announce the end of their connections as before.

--- a/listener/conns.go
+++ b/listener/conns.go
@@ -48,16 +48,23 @@
 	})
 }
 
+// closeAllIdle closes the connections that wait for a next request.
+func (c *conns) closeAllIdle() {
+	c.closeWhere(func(s connState) bool { return s.state == http.StateIdle })
+}
+
 // closeUnused closes the connections on which no request has begun for the given time.
 func (c *conns) closeUnused(now time.Time, age time.Duration) {
 	c.closeWhere(func(s connState) bool { return s.state == http.StateNew && now.Sub(s.since) > age })
 }
 
+// closeWhere closes the connections for which matches returns true. One on which a request
+// waits to be read stays open: the process may not have had the time to read it.
 func (c *conns) closeWhere(matches func(s connState) bool) (closed int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.states {
-		if matches(s) {
+		if matches(s) && !hasUnread(conn) {
 			conn.Close()
 			delete(c.states, conn)
 			closed++
--- a/listener/pending_linux.go
+++ b/listener/pending_linux.go
@@ -6,6 +6,24 @@
 	"syscall"
 )
 
+// hasUnread reports whether bytes wait on a connection that the process has not read.
+func hasUnread(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	var recvErr error
+	err = raw.Control(func(fd uintptr) {
+		n, _, recvErr = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && recvErr == nil && n > 0
+}
+
 // pendingConn accepts a connection without waiting for one.
 func pendingConn(l *net.TCPListener) (c net.Conn, ok bool) {
 	raw, err := l.SyscallConn()
--- a/listener/pending_other.go
+++ b/listener/pending_other.go
@@ -4,5 +4,8 @@
 
 import "net"
 
+// hasUnread reports that nothing waits: the system offers no way to find out.
+func hasUnread(net.Conn) bool { return false }
+
 // pendingConn accepts no connection: the system offers no way not to wait for one.
 func pendingConn(*net.TCPListener) (c net.Conn, ok bool) { return nil, false }
--- a/listener/server.go
+++ b/listener/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,8 +18,10 @@
 type Server struct {
 	http *http.Server
 
-	conns    conns
-	listener *Listener
+	conns conns
+	// isDraining makes each response the last of its connection.
+	isDraining atomic.Bool
+	listener   *Listener
 	// served is closed when the server accepts no more connections, and serveErr is then
 	// the reason; nil after Drain or Close.
 	served   chan struct{}
@@ -35,6 +38,7 @@
 	}
 	s = &Server{http: settings, listener: l, served: make(chan struct{})}
 	s.http.ConnState = s.conns.trackState
+	s.http.Handler = s.announceClose(s.http.Handler)
 	go func() {
 		defer close(s.served)
 		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -69,19 +73,32 @@
 // answered, each of them as the last of its connection. It returns the error of ctx if
 // that is done before; the remaining requests go on then.
 func (s *Server) Drain(ctx context.Context) error {
-	s.http.SetKeepAlivesEnabled(false)
+	s.isDraining.Store(true)
 	// The error is that of a port that is closed already.
 	_ = s.listener.Close()
 	<-s.served
-	for s.conns.count() > 0 {
+	for s.conns.closeAllIdle(); s.conns.count() > 0; {
 		if !pause.For(ctx, drainPollInterval) {
 			return ctx.Err()
 		}
 		s.conns.closeUnused(time.Now(), unusedConnAge)
+		s.conns.closeAllIdle()
 	}
 	return nil
 }
 
+// announceClose returns a handler whose responses close their connections while the server
+// drains. http.Server.SetKeepAlivesEnabled would also close connections on which a request
+// waits to be read.
+func (s *Server) announceClose(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isDraining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Close closes the port and all connections.
 func (s *Server) Close() error {
 	// The port is closed before, so that no waiting connection is accepted any more. The
