Share a first end only when its call has ended without a response

Most calls that lose a target are completed by the next one, and every node of the fleet got two messages for each of them.

--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -21,6 +21,8 @@
 	// RecordLoss is called when the connection of an attempt broke after the request was
 	// written. It returns once it is known whether the target's process has ended.
 	RecordLoss(ctx context.Context, d quarantine.Digest, r target.Reservation)
+	// RecordUnfinished is called when a call has ended without a response after RecordLoss.
+	RecordUnfinished(d quarantine.Digest)
 	// RecordCompletion is called for each request that a target has completed.
 	RecordCompletion(d quarantine.Digest)
 }
@@ -31,6 +33,8 @@
 	quarantine Quarantine
 	identity   Identity
 	admission  quarantine.Admission
+	// hasLoss reports whether a loss was recorded and no response since.
+	hasLoss bool
 	// mustLeave reports whether Quarantine.Leave is due.
 	mustLeave bool
 }
@@ -95,6 +99,7 @@
 func (s *suspect) recordLoss(ctx context.Context, r target.Reservation) {
 	if d, ok := s.digest(); ok {
 		s.quarantine.RecordLoss(ctx, d, r)
+		s.hasLoss = true
 	}
 }
 
@@ -105,11 +110,18 @@
 	}
 	if d, ok := s.digest(); ok {
 		s.quarantine.RecordCompletion(d)
+		s.hasLoss = false
 	}
 }
 
 // leave ends the call's part in the quarantine.
 func (s *suspect) leave() {
+	if s.hasLoss {
+		s.hasLoss = false
+		if d, ok := s.digest(); ok {
+			s.quarantine.RecordUnfinished(d)
+		}
+	}
 	if !s.mustLeave {
 		return
 	}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -82,6 +82,11 @@
 	}
 }
 
+// RecordUnfinished records that a call ended without a response after a loss.
+func (g *Guard) RecordUnfinished(d Digest) {
+	g.publish(g.Ledger.Share(d))
+}
+
 // RecordCompletion records that a copy of a request was completed.
 func (g *Guard) RecordCompletion(d Digest) {
 	if g.Ledger.IsEmpty() {
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -25,6 +25,8 @@
 type openCase struct {
 	Case
 	openCopies int
+	// isShared reports whether the other nodes know of the case.
+	isShared bool
 }
 
 // IsEmpty reports whether no request is suspected, so that digests need not be computed.
@@ -118,19 +120,44 @@
 	return known.clone(), true
 }
 
-// RecordEnd records that a process ended while a copy of a request was open at it. If that
-// was not known, it returns the case to send to the other nodes.
+// RecordEnd records that a process ended while a copy of a request was open at it. If the
+// other nodes have to know at once, it returns the case to send to them: a first end is
+// shared when its call has ended without a response, since most calls are completed elsewhere
+// a moment later.
 func (l *Ledger) RecordEnd(d Digest, e End) (news []Case) {
-	return l.Merge([]Case{{Digest: d, Ends: []End{e}}}, e.At)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.cases[d]
+	if c == nil {
+		c = l.addCase(d, e.At)
+	}
+	if !c.merge(Case{Digest: d, Ends: []End{e}}, l.refuted) || !c.isShared && c.Verdict() < Suspected {
+		return nil
+	}
+	c.isShared = true
+	return []Case{c.clone()}
 }
 
-// RecordCompletion records that a copy of a request was completed. If that clears it, it
-// returns the case to send to the other nodes.
+// Share returns the case of a request whose call has ended without a response, if the other
+// nodes do not know of it.
+func (l *Ledger) Share(d Digest) (news []Case) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.cases[d]
+	if c == nil || c.isShared || len(c.Ends) == 0 {
+		return nil
+	}
+	c.isShared = true
+	return []Case{c.clone()}
+}
+
+// RecordCompletion records that a copy of a request was completed. If that clears it and the
+// other nodes know of it, it returns the case to send to them.
 func (l *Ledger) RecordCompletion(d Digest, now time.Time) (news []Case) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.cases[d]
-	if c == nil || !c.complete(now) {
+	if c == nil || !c.complete(now) || !c.isShared {
 		return nil
 	}
 	return []Case{c.clone()}
@@ -155,7 +182,9 @@
 		if isNew {
 			c = l.addCase(received.Digest, now)
 		}
-		if c.merge(received, l.refuted) || isNew {
+		hasNew := c.merge(received, l.refuted)
+		c.isShared = true
+		if hasNew || isNew {
 			news = append(news, c.clone())
 		}
 	}
@@ -236,15 +265,27 @@
 	l.expire(now)
 }
 
+// SharedCases returns the cases that the other nodes have to know, those with the latest end
+// first.
+func (l *Ledger) SharedCases() (cases []Case) {
+	return l.casesWhere(func(c *openCase) bool { return c.isShared })
+}
+
 // Cases returns all cases, those with the latest end first.
 func (l *Ledger) Cases() (cases []Case) {
+	return l.casesWhere(func(*openCase) bool { return true })
+}
+
+func (l *Ledger) casesWhere(include func(c *openCase) bool) (cases []Case) {
 	if l.IsEmpty() {
 		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.cases {
-		cases = append(cases, c.clone())
+		if include(c) {
+			cases = append(cases, c.clone())
+		}
 	}
 	sortCases(cases)
 	return cases
--- a/suspects/exchange.go
+++ b/suspects/exchange.go
@@ -78,14 +78,14 @@
 
 // SendAll sends all cases over a new link.
 func (x *Exchange) SendAll(l *peer.Link) {
-	for chunk := range slices.Chunk(x.Guard.Ledger.Cases(), maxPerMessage) {
+	for chunk := range slices.Chunk(x.Guard.Ledger.SharedCases(), maxPerMessage) {
 		l.Send(peer.Message{Suspects: peer.NewSuspects(chunk, time.Now())})
 	}
 }
 
 // Recent returns the cases for a periodic message.
 func (x *Exchange) Recent(now time.Time) []peer.Suspect {
-	cases := x.Guard.Ledger.Cases()
+	cases := x.Guard.Ledger.SharedCases()
 	return peer.NewSuspects(cases[:min(len(cases), maxPerState)], now)
 }
 
