Refute ends by process, not by time, and send news in batches

Cause: a completion refuted the ends before it by their times, which nodes compute from ages in messages. A message that waits in the queue of a slow node makes its end later, so that it came after the completion, was news again, was cleared again, and so on at all nodes.

A completion refutes the ended processes that its node knows, by name; both sets only grow, so messages come to an end. A node that sends an end which does not count gets what refutes it. News are collected for 20 ms.

--- a/quarantine/case.go
+++ b/quarantine/case.go
@@ -25,12 +25,13 @@
 // Case is what the fleet knows of one suspected request.
 type Case struct {
 	Digest Digest
-	// Ends are the ends of distinct processes since the request was last completed, in the
-	// order in which this node learned of them.
+	// Ends are the ends of distinct processes that no completion has refuted, in the order
+	// in which this node learned of them.
 	Ends []End
-	// CompletedAt is when a copy was last completed, or an operator last released the
-	// request; zero if never.
-	CompletedAt time.Time
+	// Refuted are processes whose ends do not count: a copy was completed since, or an
+	// operator released the request. Ends are refuted by process, not by time: ages in
+	// messages are late by as long as these wait.
+	Refuted []Process
 	// TrialCount is the number of trials that were taken since the request was first held.
 	TrialCount int
 }
@@ -62,31 +63,40 @@
 	return Verdict(min(len(c.Ends), int(Held)))
 }
 
-// maxEnds is the number of ends that a case keeps. The verdict needs fewer; the others are
-// kept for operators.
+// maxEnds is the number of ends and of refuted processes that a case keeps. The verdict needs
+// fewer; the others are kept for operators.
 const maxEnds = 16
 
-// addEnd adds an end, unless it is known, older than the last completion or beyond maxEnds.
+// addEnd adds an end, unless it is known, refuted or beyond maxEnds.
 func (c *Case) addEnd(e End) (added bool) {
-	if !e.At.After(c.CompletedAt) || len(c.Ends) >= maxEnds {
-		return false
-	}
-	if slices.ContainsFunc(c.Ends, func(known End) bool { return known.Process == e.Process }) {
+	isKnown := slices.ContainsFunc(c.Ends, func(known End) bool { return known.Process == e.Process })
+	if isKnown || slices.Contains(c.Refuted, e.Process) || len(c.Ends) >= maxEnds {
 		return false
 	}
 	c.Ends = append(c.Ends, e)
 	return true
 }
 
-// complete records a completion, which refutes the ends before it.
-func (c *Case) complete(at time.Time) (refuted bool) {
-	if !at.After(c.CompletedAt) {
+// refute makes the end of a process not count, and reports whether that was not known.
+func (c *Case) refute(p Process) (isNews bool) {
+	if slices.Contains(c.Refuted, p) {
 		return false
 	}
-	c.CompletedAt = at
-	count := len(c.Ends)
-	c.Ends = slices.DeleteFunc(c.Ends, func(e End) bool { return !e.At.After(at) })
-	return len(c.Ends) < count
+	c.Refuted = append(c.Refuted, p)
+	if len(c.Refuted) > maxEnds {
+		c.Refuted = slices.Delete(c.Refuted, 0, 1)
+	}
+	c.Ends = slices.DeleteFunc(c.Ends, func(e End) bool { return e.Process == p })
+	return true
+}
+
+// complete refutes all ends, and reports whether there were any.
+func (c *Case) complete() (hadEnds bool) {
+	for _, e := range slices.Clone(c.Ends) {
+		c.refute(e.Process)
+		hadEnds = true
+	}
+	return hadEnds
 }
 
 // lastEndAt returns when the last process ended.
@@ -100,25 +110,19 @@
 }
 
 const (
-	// clearedRetention is how long a completion is kept: longer than messages about ends
-	// before it are on their way.
-	clearedRetention = 30 * time.Second
-	// suspicionRetention is how long ends are kept that are too few to hold a request.
+	// suspicionRetention is how long ends are kept that are too few to hold a request, and
+	// what refutes them.
 	suspicionRetention = 10 * time.Minute
 	// heldRetention is how long a request is held after the last process ended.
 	heldRetention = 24 * time.Hour
 )
 
-// isExpired reports whether the case can be forgotten.
-func (c *Case) isExpired(now time.Time) bool {
-	switch c.Verdict() {
-	case Free:
-		return now.Sub(c.CompletedAt) > clearedRetention
-	case Held:
-		return now.Sub(c.lastEndAt()) > heldRetention
-	default:
-		return now.Sub(c.lastEndAt()) > suspicionRetention
+// retention returns how long the case is kept after it last changed.
+func (c *Case) retention() time.Duration {
+	if c.Verdict() == Held {
+		return heldRetention
 	}
+	return suspicionRetention
 }
 
 // IsOnTrial reports whether the last thing that happened to a held request is that a trial was
@@ -131,5 +135,6 @@
 func (c *Case) clone() Case {
 	copied := *c
 	copied.Ends = slices.Clone(c.Ends)
+	copied.Refuted = slices.Clone(c.Refuted)
 	return copied
 }
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,8 @@
 	openCopies int
 	// isShared reports whether the other nodes know of the case.
 	isShared bool
+	// changedAt is when this node last learned something new.
+	changedAt time.Time
 }
 
 // IsEmpty reports whether no request is suspected, so that digests need not be computed.
@@ -131,7 +134,7 @@
 	if c == nil {
 		c = l.addCase(d, e.At)
 	}
-	if !c.merge(Case{Digest: d, Ends: []End{e}}, l.refuted) || !c.isShared && c.Verdict() < Suspected {
+	if !c.merge(Case{Digest: d, Ends: []End{e}}, l.refuted, e.At) || !c.isShared && c.Verdict() < Suspected {
 		return nil
 	}
 	c.isShared = true
@@ -157,7 +160,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.cases[d]
-	if c == nil || !c.complete(now) || !c.isShared {
+	if c == nil || !c.complete() {
+		return nil
+	}
+	c.changedAt = now
+	if !c.isShared {
 		return nil
 	}
 	return []Case{c.clone()}
@@ -169,33 +176,31 @@
 	return l.RecordCompletion(d, now)
 }
 
-// Merge adds what other nodes know, and returns the cases in which anything was new.
-func (l *Ledger) Merge(cases []Case, now time.Time) (news []Case) {
+// Merge adds what another node knows, and returns the cases in which anything was new, and
+// those in which the other node lacks what refutes its ends.
+func (l *Ledger) Merge(cases []Case, now time.Time) (news, outdated []Case) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, received := range cases {
-		if received.isExpired(now) {
-			continue
-		}
 		c := l.cases[received.Digest]
-		isNew := c == nil
-		if isNew {
+		if c == nil {
 			c = l.addCase(received.Digest, now)
 		}
-		hasNew := c.merge(received, l.refuted)
 		c.isShared = true
-		if hasNew || isNew {
+		if c.merge(received, l.refuted, now) {
 			news = append(news, c.clone())
+		} else if c.refutes(received) {
+			outdated = append(outdated, c.clone())
 		}
 	}
-	return news
+	return news, outdated
 }
 
-// merge adds what another node knows, and reports whether anything was new. A completion
-// is new only if it refutes an end, so that the completions of a popular call are not passed
-// on and on.
-func (c *openCase) merge(received Case, refuted map[Process]time.Time) (hasNew bool) {
-	hasNew = c.complete(received.CompletedAt)
+// merge adds what another node knows, and reports whether anything was new.
+func (c *openCase) merge(received Case, refuted map[Process]time.Time, now time.Time) (hasNew bool) {
+	for _, p := range received.Refuted {
+		hasNew = c.refute(p) || hasNew
+	}
 	for _, e := range received.Ends {
 		if _, isRefuted := refuted[e.Process]; isRefuted {
 			continue
@@ -206,9 +211,17 @@
 		c.TrialCount = received.TrialCount
 		hasNew = true
 	}
+	if hasNew {
+		c.changedAt = now
+	}
 	return hasNew
 }
 
+// refutes reports whether an end in a received case does not count.
+func (c *openCase) refutes(received Case) bool {
+	return slices.ContainsFunc(received.Ends, func(e End) bool { return slices.Contains(c.Refuted, e.Process) })
+}
+
 // addCase adds an empty case, in place of another one if there are too many. l.mu must be
 // held.
 func (l *Ledger) addCase(d Digest, now time.Time) *openCase {
@@ -218,7 +231,7 @@
 	if len(l.cases) >= maxCases {
 		l.evict(now)
 	}
-	c := &openCase{Case: Case{Digest: d}}
+	c := &openCase{Case: Case{Digest: d}, changedAt: now}
 	l.cases[d] = c
 	l.count.Store(int64(len(l.cases)))
 	return c
@@ -243,7 +256,7 @@
 // expire removes the cases that can be forgotten. l.mu must be held.
 func (l *Ledger) expire(now time.Time) {
 	for d, c := range l.cases {
-		if c.openCopies == 0 && c.isExpired(now) {
+		if c.openCopies == 0 && now.Sub(c.changedAt) > c.retention() {
 			delete(l.cases, d)
 		}
 	}
@@ -265,10 +278,11 @@
 	l.expire(now)
 }
 
-// SharedCases returns the cases that the other nodes have to know, those with the latest end
-// first.
+// SharedCases returns the cases with ends that the other nodes have to know, those with the
+// latest end first. What is cleared is not repeated: a node that lacks it is told so when it
+// sends the ends.
 func (l *Ledger) SharedCases() (cases []Case) {
-	return l.casesWhere(func(c *openCase) bool { return c.isShared })
+	return l.casesWhere(func(c *openCase) bool { return c.isShared && len(c.Ends) > 0 })
 }
 
 // Cases returns all cases, those with the latest end first.
--- a/suspects/exchange.go
+++ b/suspects/exchange.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,8 +18,11 @@
 	// maxPerState is the number of cases in a periodic message, those of the latest ends:
 	// the others have reached every node, or do so when a link opens.
 	maxPerState = 32
-	// maxPerMessage is the number of cases in one message to a new link.
+	// maxPerMessage is the number of cases in one message.
 	maxPerMessage = 512
+	// batchDelay is the time in which news are collected for one message. When a service
+	// loses all its targets, every open call is news to every node.
+	batchDelay = 20 * time.Millisecond
 )
 
 // Exchange sends and receives the evidence of one node; it implements quarantine.Peers.
@@ -25,12 +30,42 @@
 	Hub    *peer.Hub
 	Guard  *quarantine.Guard
 	Logger *zap.Logger
+
+	mu sync.Mutex
+	// batch holds the news to send at the end of batchDelay; empty if none is pending.
+	batch map[quarantine.Digest]quarantine.Case
 }
 
 // Announce sends cases to all peers and logs them.
 func (x *Exchange) Announce(cases []quarantine.Case) {
 	x.log(cases, true)
-	x.Hub.Broadcast(peer.Message{Suspects: peer.NewSuspects(cases, time.Now())}, nil)
+	x.addNews(cases)
+}
+
+// addNews adds cases to the next message to all peers.
+func (x *Exchange) addNews(cases []quarantine.Case) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.batch == nil {
+		x.batch = map[quarantine.Digest]quarantine.Case{}
+	}
+	if len(x.batch) == 0 {
+		time.AfterFunc(batchDelay, x.sendBatch)
+	}
+	for _, c := range cases {
+		x.batch[c.Digest] = c
+	}
+}
+
+// sendBatch sends the collected news to all peers.
+func (x *Exchange) sendBatch() {
+	x.mu.Lock()
+	cases := slices.Collect(maps.Values(x.batch))
+	clear(x.batch)
+	x.mu.Unlock()
+	for chunk := range slices.Chunk(cases, maxPerMessage) {
+		x.Hub.Broadcast(peer.Message{Suspects: peer.NewSuspects(chunk, time.Now())}, nil)
+	}
 }
 
 // AnnounceAlive sends to all peers that a process has not ended.
@@ -50,12 +85,14 @@
 		return
 	}
 	now := time.Now()
-	news := x.Guard.Ledger.Merge(m.Cases(now), now)
-	if len(news) == 0 {
-		return
+	news, outdated := x.Guard.Ledger.Merge(m.Cases(now), now)
+	if len(outdated) > 0 {
+		from.Send(peer.Message{Suspects: peer.NewSuspects(outdated, now)})
+	}
+	if len(news) > 0 {
+		x.log(news, false)
+		x.addNews(news)
 	}
-	x.log(news, false)
-	x.Hub.Broadcast(peer.Message{Suspects: peer.NewSuspects(news, now)}, from)
 }
 
 // receiveAlive drops the ends of processes that have responded to another node.
