--- a/wire/ended_test.go
+++ b/wire/ended_test.go
@@ -15,14 +15,9 @@
 // endTestProtocol names the instance on each response.
 var endTestProtocol = Protocol{InstanceHeader: "Instance", StateHeader: "State", LoadPath: "/load"}
 
-type ignoredReports struct{}
-
-func (ignoredReports) ConnVerified(target.Ref, target.Report) {}
-func (ignoredReports) LastConnLost(target.Ref)                {}
-
 func hasEnded(address string) bool {
 	ref := target.Ref{ID: "i-1", Address: vm.Address(address)}
-	p := NewPool(ref, Settings{Protocol: endTestProtocol}, 4, 0, nil, ignoredReports{})
+	p := NewPool(ref, Settings{Protocol: endTestProtocol}, 4, 0, nil, discardObserver{})
 	defer p.Close()
 	return p.HasEnded(context.Background(), "i-1")
 }
@@ -33,23 +28,6 @@
 		t.Cleanup(s.Close)
 		return s.Listener.Addr().String()
 	}
-	listen := func(serve func(net.Conn)) string {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				serve(c)
-			}
-		}()
-		return l.Addr().String()
-	}
 	refusing, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -62,8 +40,8 @@
 		{"the process responds", respondAs("i-1"), false},
 		{"another process responds", respondAs("i-2"), true},
 		{"connections are refused", refusing.Addr().String(), true},
-		{"connections are closed at once", listen(func(c net.Conn) { c.Close() }), true},
-		{"connections are silent", listen(func(net.Conn) {}), false},
+		{"connections are closed at once", startRawServer(t, func(c net.Conn) { c.Close() }), true},
+		{"connections are silent", startRawServer(t, func(net.Conn) {}), false},
 	} {
 		start := time.Now()
 		if got := hasEnded(tt.address); got != tt.want {
--- a/wire/pool_test.go
+++ b/wire/pool_test.go
@@ -24,6 +24,22 @@
 // startRawTarget serves each request on each connection by serve, which gets the number of
 // requests on the connection so far.
 func startRawTarget(t *testing.T, serve func(w io.Writer, r *http.Request, n int)) (address string) {
+	t.Helper()
+	return startRawServer(t, func(c net.Conn) {
+		defer c.Close()
+		br := bufio.NewReader(c)
+		for n := 1; ; n++ {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			serve(c, r, n)
+		}
+	})
+}
+
+// startRawServer serves each connection by serve, in a goroutine of its own.
+func startRawServer(t *testing.T, serve func(c net.Conn)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -36,17 +52,7 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				br := bufio.NewReader(c)
-				for n := 1; ; n++ {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					serve(c, r, n)
-				}
-			}()
+			go serve(c)
 		}
 	}()
 	return l.Addr().String()
