--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -142,7 +143,8 @@
 func (c *testCluster) linkNodes() {
 	var fleet []vm.VM
 	for _, s := range c.settings {
-		fleet = append(fleet, vm.VM{ID: vm.ID(s.PeerAddress), Address: s.PeerAddress, Zone: s.Zone, Role: vm.RoleEntry})
+		address := cmp.Or(s.AdvertisedAddress, s.PeerAddress)
+		fleet = append(fleet, vm.VM{ID: vm.ID(address), Address: address, Zone: s.Zone, Role: vm.RoleEntry})
 	}
 	for _, n := range c.nodes {
 		n.AddNodes(fleet)
--- a/gateway/node_test.go
+++ b/gateway/node_test.go
@@ -35,8 +35,10 @@
 	newDecoder func() gateway.Decoder
 	// peerAddresses are the addresses of the next nodes; empty means free ones.
 	peerAddresses []vm.Address
-	heartbeats    int
-	callCount     atomic.Int64
+	// advertise, if set, returns the address that the next node advertises for its own.
+	advertise  func(vm.Address) vm.Address
+	heartbeats int
+	callCount  atomic.Int64
 }
 
 func newTestCluster(t *testing.T) *testCluster {
@@ -91,6 +93,9 @@
 		PeerAddress: peerAddress, GracePeriod: 2 * time.Second, StoreAddress: store,
 		ExtraAttempts: gateway.ExtraAttemptLimit{AttemptsPerCall: 0.2, BaseAttempts: 56, Window: 10 * time.Second},
 	}
+	if c.advertise != nil {
+		s.AdvertisedAddress = c.advertise(peerAddress)
+	}
 	var client gateway.Store = platform.NewStore(store, platformtest.PartitionsPerTopic)
 	if c.wrapStore != nil {
 		client = c.wrapStore(client)
