Keep a rate limit that a peer reported through a target's first response

Traced with the new TestNodeLinkedLaterKeepsToLimit, which failed in half of its runs and showed the order: the peer's limit was recorded, then the target's first response named its instance, and replacing the unknown instance forgot the limit.

The first instance that becomes known replaces none, so what was reported before it stays (TestFirstResponseKeepsLimitThatPeerReported failed before). A new link of the zone gets the limits in force, and a limit of a target that the node does not hold yet waits for it, ten seconds at most.

--- /dev/null
+++ b/gateway/limits.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apricotmount/apricotmount/peer"
+	"github.com/apricotmount/apricotmount/service"
+	"github.com/apricotmount/apricotmount/target"
+	"github.com/apricotmount/apricotmount/vm"
+)
+
+// receiveLimits applies rate limits that targets have named to a peer. They are not
+// forwarded: each node that hears of one from the target tells its own peers. A node that has
+// just started may not hold the target yet; the limit waits for it.
+func (n *Node) receiveLimits(limits []peer.TargetLimit, now time.Time) {
+	for _, l := range limits {
+		if !l.PerSecond.IsValid() {
+			continue
+		}
+		limit := target.PeerLimit{
+			ID: l.ID, Incarnation: l.Incarnation, OnLoadQueries: l.OnLoadQueries,
+			ToldAt: now.Add(-time.Duration(l.AgeMillis) * time.Millisecond),
+		}
+		if !l.Ended {
+			limit.Limit = target.RateLimit{Status: target.LimitNamed, PerSecond: l.PerSecond}
+		}
+		if !n.upstreams.recordPeerLimit(l.Service, limit) {
+			n.pendingLimits.add(l.Service, limit)
+		}
+	}
+}
+
+// recordPeerLimit records a rate limit. It reports false if the target is not known.
+func (u *upstreams) recordPeerLimit(name service.Name, l target.PeerLimit) (isKnown bool) {
+	s := u.active.Load().services[name]
+	return s != nil && s.dispatch.Table.RecordPeerLimit(l)
+}
+
+// pendingLimit is a rate limit of a target that is not known yet.
+type pendingLimit struct {
+	service service.Name
+	limit   target.PeerLimit
+}
+
+// pendingLimits holds the rate limits of targets that are not known yet. Its zero value is
+// empty and ready to use.
+type pendingLimits struct {
+	mu       sync.Mutex
+	byTarget map[vm.ID]pendingLimit
+}
+
+// maxPendingLimits bounds the limits that wait for their targets.
+const maxPendingLimits = 4096
+
+func (p *pendingLimits) add(name service.Name, l target.PeerLimit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.byTarget == nil || len(p.byTarget) >= maxPendingLimits {
+		p.byTarget = map[vm.ID]pendingLimit{}
+	}
+	p.byTarget[l.ID] = pendingLimit{name, l}
+}
+
+// take returns all limits and removes them.
+func (p *pendingLimits) take() (limits []pendingLimit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limits = slices.Collect(maps.Values(p.byTarget))
+	clear(p.byTarget)
+	return limits
+}
+
+// pendingLimitRetention is how long a limit waits for its target.
+const pendingLimitRetention = 10 * time.Second
+
+// applyPendingLimits records the limits of targets that are known by now.
+func (n *Node) applyPendingLimits(now time.Time) {
+	for _, p := range n.pendingLimits.take() {
+		if !n.upstreams.recordPeerLimit(p.service, p.limit) && now.Sub(p.limit.ToldAt) < pendingLimitRetention {
+			n.pendingLimits.add(p.service, p.limit)
+		}
+	}
+}
+
+// tellLimit tells the peers of the node's zone what a target has said about its rate limit.
+// Targets are preferred by the nodes of their zone, and bytes between zones are expensive.
+func (n *Node) tellLimit(c target.LimitChange) {
+	n.hub.BroadcastTo(peer.Message{Limits: []peer.TargetLimit{newTargetLimit(c)}}, n.isLocalLink)
+}
+
+func newTargetLimit(c target.LimitChange) peer.TargetLimit {
+	return peer.TargetLimit{
+		Service: c.Ref.Service, ID: c.Ref.ID, Incarnation: c.Incarnation, PerSecond: c.Limit.PerSecond, Ended: c.Limit.Status == target.LimitAbsent,
+		OnLoadQueries: c.OnLoadQueries, AgeMillis: peer.Milliseconds(time.Since(c.ToldAt)),
+	}
+}
+
+// maxLimitsPerMessage is the number of rate limits in one message to a new link.
+const maxLimitsPerMessage = 512
+
+// sendLimits sends the rate limits in force over a new link of the node's zone: the peer was
+// not linked when the targets named them.
+func (n *Node) sendLimits(l *peer.Link) {
+	var limits []peer.TargetLimit
+	for _, s := range n.upstreams.active.Load().services {
+		for _, c := range s.dispatch.Table.Limits() {
+			limits = append(limits, newTargetLimit(c))
+		}
+	}
+	for chunk := range slices.Chunk(limits, maxLimitsPerMessage) {
+		l.Send(peer.Message{Limits: chunk})
+	}
+}
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -11,7 +11,6 @@
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/replica"
-	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/vm"
 	"github.com/apricotmount/apricotmount/zone"
 	"go.uber.org/zap"
@@ -52,7 +51,9 @@
 func (d peerDelegate) Receive(l *peer.Link, m peer.Message) {
 	n, now := d.node, time.Now()
 	if m.Sender != nil {
-		n.linkZones.Store(l, m.Sender.Zone)
+		if _, known := n.linkZones.Swap(l, m.Sender.Zone); !known && m.Sender.Zone == n.settings.Zone {
+			n.sendLimits(l)
+		}
 		n.receiveNodes([]vm.VM{*m.Sender}, l, now)
 		if nodes := n.state.fleetNodes(now); len(nodes) > m.KnownNodeCount+1 {
 			l.Send(peer.Message{Nodes: nodes})
@@ -76,36 +77,6 @@
 	}
 }
 
-// receiveLimits applies rate limits that targets have named to a peer. They are not
-// forwarded: each node that hears of one from the target tells its own peers.
-func (n *Node) receiveLimits(limits []peer.TargetLimit, now time.Time) {
-	services := n.upstreams.active.Load().services
-	for _, l := range limits {
-		s := services[l.Service]
-		if s == nil || !l.PerSecond.IsValid() {
-			continue
-		}
-		limit := target.RateLimit{}
-		if !l.Ended {
-			limit = target.RateLimit{Status: target.LimitNamed, PerSecond: l.PerSecond}
-		}
-		s.dispatch.Table.RecordPeerLimit(target.PeerLimit{
-			ID: l.ID, Limit: limit, Incarnation: l.Incarnation, OnLoadQueries: l.OnLoadQueries,
-			ToldAt: now.Add(-time.Duration(l.AgeMillis) * time.Millisecond),
-		})
-	}
-}
-
-// tellLimit tells the peers of the node's zone what a target has said about its rate limit.
-// Targets are preferred by the nodes of their zone, and bytes between zones are expensive.
-func (n *Node) tellLimit(c target.LimitChange) {
-	l := peer.TargetLimit{
-		Service: c.Ref.Service, ID: c.Ref.ID, Incarnation: c.Incarnation, PerSecond: c.Limit.PerSecond, Ended: c.Limit.Status == target.LimitAbsent,
-		OnLoadQueries: c.OnLoadQueries, AgeMillis: peer.Milliseconds(time.Since(c.ToldAt)),
-	}
-	n.hub.BroadcastTo(peer.Message{Limits: []peer.TargetLimit{l}}, n.isLocalLink)
-}
-
 // AddNodes adds nodes to those known, as if the store had listed them as members.
 func (n *Node) AddNodes(nodes []vm.VM) {
 	n.state.addNodes(nodes, time.Now())
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -69,9 +69,11 @@
 	hub        *peer.Hub
 	quarantine *quarantine.Guard
 	suspects   *suspects.Exchange
-	paths      reach.Watch
-	sender     *relay.Sender
-	receiver   *relay.Receiver
+	// pendingLimits holds rate limits of targets that are not known yet.
+	pendingLimits pendingLimits
+	paths         reach.Watch
+	sender        *relay.Sender
+	receiver      *relay.Receiver
 	// pathDoubt wakes watchPaths.
 	pathDoubt chan struct{}
 
@@ -295,6 +297,7 @@
 	}
 	snap := n.state.snapshot(now)
 	n.upstreams.apply(snap, nodes, fleetSize, now)
+	n.applyPendingLimits(now)
 	n.appliedRevision, n.appliedFleetSize, n.nextChangeAt = revision, fleetSize, snap.nextChangeAt
 }
 
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -112,6 +112,27 @@
 	}
 }
 
+// A node that is linked after a target has named its limit must keep to it too.
+func TestNodeLinkedLaterKeepsToLimit(t *testing.T) {
+	c := newStartedCluster(t, 1)
+	limited := c.targets["i-1"]
+	limited.NameLimitOnCallsOnly()
+	limited.SetLimit(0)
+	c.waitFor(waitTimeout, "a call to the limited target", func() bool { c.call(0); return limited.ArrivalCount() > 0 })
+	c.startNode("east", c.storeAddress)
+	c.waitFor(waitTimeout, "a ready node", func() bool { return c.isReady(1) })
+	c.linkNodes()
+	before := limited.ArrivalCount()
+	for range 40 {
+		if status, body := c.call(1); status != http.StatusOK {
+			t.Fatalf("call: got %d %q, want 200", status, body)
+		}
+	}
+	if got := limited.ArrivalCount() - before; got != 0 {
+		t.Errorf("calls of the node that was linked later: got %d, want none", got)
+	}
+}
+
 // All targets name a limit. They must get what they named and no more, and the callers
 // beyond must be refused at once, as not run, with a time to return.
 func TestCallersBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
--- a/target/ratelimit.go
+++ b/target/ratelimit.go
@@ -117,6 +117,18 @@
 	e.limit = l
 }
 
+// Limits returns the rate limits in force.
+func (t *Table) Limits() (limits []LimitChange) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		if l := &e.limit; l.inForce() {
+			limits = append(limits, LimitChange{Ref: e.ref, Limit: l.limit, Incarnation: e.incarnation, OnLoadQueries: l.onLoadQueries, ToldAt: l.toldAt})
+		}
+	}
+	return limits
+}
+
 // maxPeerDelay bounds how long a peer's word may have been on its way: a link without
 // messages for so long is closed.
 const maxPeerDelay = 2400 * time.Millisecond
@@ -132,15 +144,19 @@
 
 // RecordPeerLimit records what a target told a peer. It is ignored for another process
 // than the listed one, and if this node heard the target itself so recently that the
-// peer's word may be older.
-func (t *Table) RecordPeerLimit(p PeerLimit) {
+// peer's word may be older. It reports whether the target is known.
+func (t *Table) RecordPeerLimit(p PeerLimit) (isKnown bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.find(p.ID)
-	if e == nil || p.Incarnation != e.incarnation || p.ToldAt.Add(-maxPeerDelay).Before(e.limit.toldAt) {
-		return
+	if e == nil {
+		return false
+	}
+	if p.Incarnation != e.incarnation || p.ToldAt.Add(-maxPeerDelay).Before(e.limit.toldAt) {
+		return true
 	}
 	t.setLimit(e, limitState{limit: p.Limit, toldAt: p.ToldAt, onLoadQueries: p.OnLoadQueries || e.limit.onLoadQueries}, LimitFromPeer)
+	return true
 }
 
 // limitExpiry is the age of the last word about a limit from which it is no longer in
--- a/target/ratelimit_test.go
+++ b/target/ratelimit_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/apricotmount/apricotmount/quota"
+	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/vm"
+	"github.com/apricotmount/apricotmount/zone"
 )
 
 // limitedReport is a report received at the given time that names a rate limit.
@@ -267,3 +269,16 @@
 		t.Errorf("last limit told: got %v, want 42", got)
 	}
 }
+
+// A node that has not asked a target yet learns of its limit from a peer. The target's first
+// response, which names its instance and no limit, does not end it.
+func TestFirstResponseKeepsLimitThatPeerReported(t *testing.T) {
+	table := NewTable(service.Service{Name: "a", Slots: 6}, Settings{ListIsAuthoritative: true})
+	now := time.Now()
+	table.SetList(now, []vm.VM{{ID: "i-1", Incarnation: 1}}, func(vm.ID, zone.Name) bool { return false })
+	table.RecordPeerLimit(PeerLimit{ID: "i-1", Incarnation: 1, Limit: RateLimit{Status: LimitNamed, PerSecond: 2}, ToldAt: now})
+	table.RecordReport("i-1", now.Add(time.Millisecond), Report{IsPresent: true, Instance: "i-1", State: Live, ReceivedAt: now.Add(time.Millisecond)})
+	if got := table.Counts(now.Add(time.Second)).Limited; got != 1 {
+		t.Errorf("targets with a limit: got %d, want 1", got)
+	}
+}
--- a/target/state.go
+++ b/target/state.go
@@ -247,9 +247,11 @@
 }
 
 // replaceInstance resets the entry for a new instance, which is in cold start if
-// it replaces a known one.
+// it replaces a known one. What a peer reported of a target whose instance was not
+// known yet stays.
 func (e *entry) replaceInstance(i Instance, now time.Time) {
-	if e.instance != "" {
+	isReplacement := e.instance != ""
+	if isReplacement {
 		copy(e.pastInstances[1:], e.pastInstances[:len(e.pastInstances)-1])
 		e.pastInstances[0] = e.instance
 		e.state = Cold
@@ -261,5 +263,7 @@
 	e.reportedAt, e.sentSinceReport, e.unansweredAt = 0, 0, 0
 	e.consecutiveFailures, e.trialResponsesRemaining = 0, 0
 	e.ejectedUntil = 0
-	e.clearNotices()
+	if isReplacement {
+		e.clearNotices()
+	}
 }
