--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -237,20 +239,23 @@
 	return c
 }
 
-// evict removes a case: of those with the lowest verdict, the one whose last process ended
-// first. Held requests stay until all cases are held. l.mu must be held.
+// evictedShare is the share of the cases that evict removes at a time, so that a caller with
+// many harmful requests does not make each of them cost a look at all cases.
+const evictedShare = 1.0 / 16
+
+// evict removes some cases: first those with the lowest verdict, of these the ones whose last
+// process ended first. Held requests stay as long as there are others. l.mu must be held.
 func (l *Ledger) evict(now time.Time) {
 	l.expire(now)
 	if len(l.cases) < maxCases {
 		return
 	}
-	var victim *openCase
-	for _, c := range l.cases {
-		if victim == nil || c.Verdict() < victim.Verdict() || c.Verdict() == victim.Verdict() && c.lastEndAt().Before(victim.lastEndAt()) {
-			victim = c
-		}
+	ordered := slices.SortedFunc(maps.Values(l.cases), func(a, b *openCase) int {
+		return cmp.Or(cmp.Compare(a.Verdict(), b.Verdict()), a.lastEndAt().Compare(b.lastEndAt()))
+	})
+	for _, c := range ordered[:int(evictedShare*maxCases)] {
+		delete(l.cases, c.Digest)
 	}
-	delete(l.cases, victim.Digest)
 }
 
 // expire removes the cases that can be forgotten. l.mu must be held.
