--- a/cmd/apricotmount/soak_test.go
+++ b/cmd/apricotmount/soak_test.go
@@ -128,7 +128,7 @@
 	}
 }
 
-// Copies of a harmful request that no node can know as one must be reported by the check.
+// Copies of a harmful request that no node can identify as one must be reported by the check.
 func TestSoakDetectsHarmfulRequestThatIsNotHeldBack(t *testing.T) {
 	result := runSoak(t, soak.Settings{Seed: 31001, NodeCount: 3, TargetCount: 6, CallerCount: 4, FaultDuration: 8 * time.Second, FaultNames: []string{"plan"}, Harmful: true, DistinctCopies: true})
 	wantFinding(t, result, "harmful-request")
--- a/entry/identity.go
+++ b/entry/identity.go
@@ -73,10 +73,10 @@
 	return p.prefix, p.atEnd || len(p.prefix) == prefixBytes
 }
 
-// credentialHeaders are the headers by which targets may tell callers apart.
+// credentialHeaders are the headers by which targets distinguish callers.
 var credentialHeaders = []string{"Authorization", "Cookie"}
 
-// callerIdentity returns what tells callers apart for a target: their credentials and, if it
+// callerIdentity returns what distinguishes callers for a target: their credentials and, if it
 // is forwarded, their address. Copies of a request that come over different networks are the
 // same to a target that does not receive the address.
 func (h *Handler) callerIdentity(r *http.Request) string {
--- a/entry/identity_test.go
+++ b/entry/identity_test.go
@@ -46,7 +46,7 @@
 
 // Copies of one request come from several addresses of its caller, with a declared length or
 // in chunks. A target that receives neither runs the same request.
-func TestCopiesThatTargetsCannotTellApartAreOneRequest(t *testing.T) {
+func TestCopiesThatTargetsCannotDistinguishAreOneRequest(t *testing.T) {
 	newRequest := func(address, authorization string, length int64) *http.Request {
 		r := httptest.NewRequest(http.MethodPost, "http://h.example/a?b=1", io.NopCloser(strings.NewReader("abc")))
 		r.RemoteAddr, r.ContentLength = address, length
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -136,7 +136,7 @@
 	return c, ct
 }
 
-// linkTime is long enough for nodes that know each other to open their links.
+// linkTime is long enough for nodes with each other's addresses to open their links.
 const linkTime = time.Second
 
 // linkNodes makes all nodes known to each other and waits until they are linked.
@@ -231,7 +231,7 @@
 
 // Most targets of a service end one after the other while one popular call runs at all of
 // them. It is not what ended them, so it is not held back.
-func TestPopularCallIsNotBlamedForEndOfItsTargets(t *testing.T) {
+func TestPopularCallIsNotHeldAfterEndOfItsTargets(t *testing.T) {
 	c, ct := newCrashyCluster(t, 3, 8)
 	var calls sync.WaitGroup
 	var served, sent int
@@ -255,8 +255,8 @@
 }
 
 // A node whose connections to the targets are reset and refused takes them for ended. The other
-// nodes know better, so the calls that were open there are not held against anyone.
-func TestPartedNodeBlamesNoCall(t *testing.T) {
+// nodes refute that, so the calls that were open there are not held.
+func TestPartedNodeCausesNoHeldCall(t *testing.T) {
 	c, paths := newPartableCluster(t, 3, 8)
 	const path = "/x/steady"
 	stop := make(chan struct{})
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -13,8 +13,8 @@
 )
 
 // receiveLimits applies rate limits that targets have named to a peer. They are not
-// forwarded: each node that hears of one from the target tells its own peers. A node that has
-// just started may not hold the target yet; the limit waits for it.
+// forwarded: each node that receives one from the target sends it to its own peers. A node
+// that has just started may not hold the target yet; the limit waits for it.
 func (n *Node) receiveLimits(limits []peer.TargetLimit, now time.Time) {
 	for _, l := range limits {
 		if !l.PerSecond.IsValid() {
@@ -85,9 +85,9 @@
 	}
 }
 
-// tellLimit tells the peers of the node's zone what a target has said about its rate limit.
+// announceLimit sends the rate limit that a target named to the peers of the node's zone.
 // Targets are preferred by the nodes of their zone, and bytes between zones are expensive.
-func (n *Node) tellLimit(c target.LimitChange) {
+func (n *Node) announceLimit(c target.LimitChange) {
 	n.hub.BroadcastTo(peer.Message{Limits: []peer.TargetLimit{newTargetLimit(c)}}, n.isLocalLink)
 }
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -116,7 +116,7 @@
 	n.logLimitChange(c)
 	isDirect := c.Source == target.LimitFromCall || c.Source == target.LimitFromLoadQuery
 	if isDirect && c.Limit.Status != target.LimitUnreadable {
-		n.tellLimit(c)
+		n.announceLimit(c)
 	}
 }
 
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -15,7 +15,7 @@
 
 const (
 	// pathCheckInterval is the time between two load queries to targets of a service whose
-	// path is in doubt, so that its loss and its return are noticed without calls.
+	// path is in doubt, so that its loss and its return are detected without calls.
 	pathCheckInterval = 250 * time.Millisecond
 	// pathCheckCount is the number of targets that are queried each time.
 	pathCheckCount = 2
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -27,7 +27,7 @@
 	n.callerHandler.Dispatcher.Quarantine = n.quarantine
 }
 
-// Self returns the address of the node, by which the other nodes know it.
+// Self returns the address of the node, by which the other nodes identify it.
 func (q quarantineNode) Self() vm.ID {
 	return vm.ID(q.node.members.Self().Address)
 }
--- a/operator/quarantine.go
+++ b/operator/quarantine.go
@@ -1,6 +1,6 @@
 package operator
 
-// SuspectedRequest is a request that ended targets, as the responding node knows it.
+// SuspectedRequest is a request that ended targets, as recorded by the responding node.
 type SuspectedRequest struct {
 	// Request is the digest of the request, as it stands in log lines.
 	Request string `json:"request"`
--- a/peer/suspect.go
+++ b/peer/suspect.go
@@ -8,7 +8,7 @@
 	"github.com/apricotmount/apricotmount/vm"
 )
 
-// Suspect is what the sender knows of a request that may end the targets that run it.
+// Suspect is the sender's evidence on a request that may end the targets that run it.
 type Suspect struct {
 	Digest []byte       `cbor:"1,keyasint"`
 	Ends   []SuspectEnd `cbor:"2,keyasint,omitempty"`
--- a/quarantine/case.go
+++ b/quarantine/case.go
@@ -22,7 +22,7 @@
 	Witness vm.ID
 }
 
-// Case is what the fleet knows of one suspected request.
+// Case is the evidence of the fleet on one suspected request.
 type Case struct {
 	Digest Digest
 	// Ends are the ends of distinct processes that no completion has refuted, in the order
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -95,7 +95,7 @@
 	g.publish(g.Ledger.RecordCompletion(d, time.Now()))
 }
 
-// Release clears a request at the word of an operator, and reports whether it was suspected.
+// Release clears a request for an operator, and reports whether it was suspected.
 func (g *Guard) Release(d Digest) bool {
 	news := g.Ledger.Release(d, time.Now())
 	g.publish(news)
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -12,7 +12,7 @@
 // maxCases bounds the number of cases that a ledger holds.
 const maxCases = 4096
 
-// Ledger holds the cases that a node knows. Its zero value is empty and ready to use; its
+// Ledger holds the cases of a node. Its zero value is empty and ready to use; its
 // methods are safe for concurrent use.
 type Ledger struct {
 	count atomic.Int64
@@ -28,7 +28,7 @@
 type openCase struct {
 	Case
 	openCopies int
-	// isShared reports whether the other nodes know of the case.
+	// isShared reports whether the case was exchanged with other nodes.
 	isShared bool
 	// changedAt is when this node last learned something new.
 	changedAt time.Time
@@ -126,7 +126,7 @@
 }
 
 // RecordEnd records that a process ended while a copy of a request was open at it. If the
-// other nodes have to know at once, it returns the case to send to them: a first end is
+// other nodes need it at once, it returns the case to send to them: a first end is
 // shared when its call has ended without a response, since most calls are completed elsewhere
 // a moment later.
 func (l *Ledger) RecordEnd(d Digest, e End) (news []Case) {
@@ -143,8 +143,8 @@
 	return []Case{c.clone()}
 }
 
-// Share returns the case of a request whose call has ended without a response, if the other
-// nodes do not know of it.
+// Share returns the case of a request whose call has ended without a response, if it was not
+// exchanged with other nodes.
 func (l *Ledger) Share(d Digest) (news []Case) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -157,7 +157,7 @@
 }
 
 // RecordCompletion records that a copy of a request was completed. If that clears it and the
-// other nodes know of it, it returns the case to send to them.
+// other nodes have it, it returns the case to send to them.
 func (l *Ledger) RecordCompletion(d Digest, now time.Time) (news []Case) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -172,13 +172,13 @@
 	return []Case{c.clone()}
 }
 
-// Release clears a request at the word of an operator. It returns the case to send to the
+// Release clears a request for an operator. It returns the case to send to the
 // other nodes, or nothing if the request was not suspected.
 func (l *Ledger) Release(d Digest, now time.Time) (news []Case) {
 	return l.RecordCompletion(d, now)
 }
 
-// Merge adds what another node knows, and returns the cases in which anything was new, and
+// Merge adds the cases of another node, and returns the cases in which anything was new, and
 // those in which the other node lacks what refutes its ends.
 func (l *Ledger) Merge(cases []Case, now time.Time) (news, outdated []Case) {
 	l.mu.Lock()
@@ -198,7 +198,7 @@
 	return news, outdated
 }
 
-// merge adds what another node knows, and reports whether anything was new.
+// merge adds the case of another node, and reports whether anything was new.
 func (c *openCase) merge(received Case, refuted map[Process]time.Time, now time.Time) (hasNew bool) {
 	for _, p := range received.Refuted {
 		hasNew = c.refute(p) || hasNew
@@ -283,9 +283,8 @@
 	l.expire(now)
 }
 
-// SharedCases returns the cases with ends that the other nodes have to know, those with the
-// latest end first. What is cleared is not repeated: a node that lacks it is told so when it
-// sends the ends.
+// SharedCases returns the cases with ends that the other nodes need, those with the latest end
+// first. What is cleared is not repeated: a node that lacks it gets it when it sends the ends.
 func (l *Ledger) SharedCases() (cases []Case) {
 	return l.casesWhere(func(c *openCase) bool { return c.isShared && len(c.Ends) > 0 })
 }
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -237,7 +237,7 @@
 	}
 }
 
-// Most calls that lose a target are completed by the next one. The fleet need not learn of them.
+// Most calls that lose a target are completed by the next one. The fleet does not need them.
 func TestCallThatIsCompletedElsewhereIsNoNews(t *testing.T) {
 	l, d := &Ledger{}, testDigest(1)
 	if news := l.RecordEnd(d, testEnd("i-1", testEpoch)); len(news) != 0 {
--- a/quarantine/refute.go
+++ b/quarantine/refute.go
@@ -17,8 +17,8 @@
 )
 
 // RecordAlive records that a process responded to a request that was sent at the given time.
-// If the process was taken for ended before, it reports true, and the other nodes have to
-// learn of it.
+// If the process was taken for ended before, it reports true, and the other nodes
+// need that.
 func (l *Ledger) RecordAlive(p Process, sentAt time.Time) (isNews bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -34,8 +34,8 @@
 	return isNews
 }
 
-// Refute drops the ends of processes that other nodes know to be alive, and returns those of
-// which this was not known.
+// Refute drops the ends of processes that other nodes found alive, and returns those for
+// which this is new.
 func (l *Ledger) Refute(processes []Process, now time.Time) (news []Process) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/reach/watch.go
+++ b/reach/watch.go
@@ -40,7 +40,7 @@
 	LastResponseAt time.Time
 }
 
-// Watch holds what a node has seen of its paths. Its zero value knows of no failure and is
+// Watch holds what a node has seen of its paths. Its zero value has no failure and is
 // ready to use; its methods are safe for concurrent use.
 type Watch struct {
 	mu       sync.Mutex
--- a/reach/watch_test.go
+++ b/reach/watch_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// A service with few calls is not worth its own evidence when no target of any service
+// A service with few calls gives little evidence of its own when no target of any service
 // responds.
 func TestSilenceOfAllServicesCountsTogether(t *testing.T) {
 	for _, hasResponse := range []bool{false, true} {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -92,7 +92,7 @@
 }
 
 // A node that breaks off has perhaps run the call. One that is not idempotent is not sent
-// again, and its caller is not told that it was not run.
+// again, and its caller does not get a response that it was not run.
 func TestCallWhoseNodeBreaksOffIsUnknown(t *testing.T) {
 	h, sender := newSendingHandler(t, false)
 	var runs atomic.Int64
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -63,7 +63,7 @@
 	OnCallEnd func(e entry.CallResult)
 }
 
-// NewSender returns a Sender that knows no other node yet.
+// NewSender returns a Sender without other nodes.
 func NewSender(cfg Settings) *Sender {
 	s := &Sender{pools: map[vm.ID]*wire.Pool{}}
 	settings := cfg.Callers.Settings
@@ -107,7 +107,7 @@
 }
 
 // Forward returns the handler and the route by which a call goes through another node, and
-// adds what that node has to know of the caller.
+// adds the caller's address for that node.
 func (s *Sender) Forward(route entry.Route, r *http.Request) (*entry.Handler, entry.Route) {
 	p := *route.Profile
 	forwarded := profile.Profile{Name: p.Name, Urgency: p.Urgency, Idempotent: p.Idempotent, CallTimeout: p.CallTimeout, AttemptTimeout: p.CallTimeout, QueueTimeout: queueTimeout}
@@ -132,7 +132,7 @@
 	return p
 }
 
-// ConnVerified passes what a node says of itself to the table.
+// ConnVerified passes the report of a node to the table.
 func (s *Sender) ConnVerified(ref target.Ref, report target.Report) {
 	s.service.Table.RecordReport(ref.ID, time.Now(), report)
 }
--- a/soak/harmful.go
+++ b/soak/harmful.go
@@ -18,7 +18,7 @@
 	harmfulInterval = 200 * time.Millisecond
 	harmfulDuration = 9 * time.Second
 	// harmfulCrashes is the number of targets that may end under a request before the nodes
-	// must know it, contactTime how long they have then, and harmfulRuns the number of
+	// must hold it, contactTime how long they have then, and harmfulRuns the number of
 	// copies that may run after that.
 	harmfulCrashes = 3
 	contactTime    = 3 * time.Second
@@ -34,7 +34,7 @@
 // harmfulRequest is what targets have seen of one harmful request.
 type harmfulRequest struct {
 	crashCount int
-	// knownFrom is when all undisturbed nodes must know the request; zero before enough
+	// knownFrom is when all undisturbed nodes must hold the request; zero before enough
 	// targets have ended.
 	knownFrom time.Time
 	lateRuns  int
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,7 +40,7 @@
 	FaultDuration time.Duration
 	CallerCount   int
 	// Harmful adds a caller whose requests end the targets that run them. With
-	// DistinctCopies each copy is another request, so that no node can know it.
+	// DistinctCopies each copy is another request, so that no node can identify it.
 	Harmful, DistinctCopies bool
 	// ConfigTimeout is how long a configuration may take to become active at all nodes
 	// when there is no fault. The default, propagationLimit, leaves time for slow machines.
--- a/target/ratelimit_test.go
+++ b/target/ratelimit_test.go
@@ -270,7 +270,7 @@
 	}
 }
 
-// A node that has not asked a target yet learns of its limit from a peer. The target's first
+// A node that has not queried a target yet gets its limit from a peer. The target's first
 // response, which names its instance and no limit, does not end it.
 func TestFirstResponseKeepsLimitThatPeerReported(t *testing.T) {
 	table := NewTable(service.Service{Name: "a", Slots: 6}, Settings{ListIsAuthoritative: true})
--- a/wire/ended_test.go
+++ b/wire/ended_test.go
@@ -22,7 +22,7 @@
 	return p.HasEnded(context.Background(), "i-1")
 }
 
-func TestEndOfProcessIsToldFromBrokenConnection(t *testing.T) {
+func TestEndOfProcessIsDistinguishedFromBrokenConnection(t *testing.T) {
 	respondAs := func(id string) string {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Instance", id) }))
 		t.Cleanup(s.Close)
