Refuse calls that still wait when a node's planned stop ends

Nothing ended waits before the calls in progress are cut off. 0.3 s before that, calls that were not sent yet end as not run (reason node-stopping) with a time to return.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotmount/apricotmount/admission"
@@ -165,6 +166,15 @@
 	// RefusalBudget bounds the rate of attempts at another target after a refusal,
 	// for services without an ExtraAttemptBudget; nil means no bound.
 	RefusalBudget *measuring.Budget
+
+	// isStopping ends calls before their next attempt.
+	isStopping atomic.Bool
+}
+
+// EndWaiting ends all calls that wait for capacity, and those that arrive from now on.
+// Attempts that are open go on.
+func (d *Dispatcher) EndWaiting() {
+	d.isStopping.Store(true)
 }
 
 // CallResponse is a call whose target responded; Finish must be called once.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -155,6 +155,9 @@
 	if r.suspect.isHeld() {
 		return outcome.Quarantined
 	}
+	if r.dispatcher.isStopping.Load() {
+		return outcome.NodeStopping
+	}
 	if r.service.isPathLost() {
 		return outcome.PathLost
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -40,6 +40,8 @@
 	pause.For(ctx, acceptDuration(n.reloadable.Load().GracePeriod))
 	ctx, cancel := context.WithDeadline(ctx, start.Add(n.reloadable.Load().GracePeriod-stopMargin))
 	defer cancel()
+	endWaiting := time.AfterFunc(time.Until(start.Add(n.reloadable.Load().GracePeriod-stopMargin-waitEndMargin)), n.handler.Dispatcher.EndWaiting)
+	defer endWaiting.Stop()
 	err := n.callerServer.Drain(ctx)
 	n.waitForRelayed(ctx)
 	if err != nil {
@@ -59,6 +61,10 @@
 // Stop.
 const stopMargin = 300 * time.Millisecond
 
+// waitEndMargin is the time before the end of the calls in progress at which those that still
+// wait for capacity are refused: each checks ten times a second whether it may be sent.
+const waitEndMargin = 300 * time.Millisecond
+
 // close closes all servers, links and connections, and waits for the background loops.
 func (n *Node) close() {
 	n.cancel()
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -32,7 +32,8 @@
 	Quarantined       Reason = "quarantined"     // the request ended the targets that ran it
 	TargetsLimited    Reason = "targets-limited" // the targets' rate limits leave no capacity in time
 	ConnectFailed     Reason = "connect-failed"
-	PathLost          Reason = "path-lost" // the node has no path to the targets
+	PathLost          Reason = "path-lost"     // the node has no path to the targets
+	NodeStopping      Reason = "node-stopping" // the node stops before the call could be sent
 	KeyMissing        Reason = "key-missing"
 	KeyInvalid        Reason = "key-invalid"
 	KeyReused         Reason = "key-reused" // the key was claimed for a different request
@@ -60,7 +61,7 @@
 // NotRunReasons lists all reasons for the outcome NotRun.
 var NotRunReasons = []Reason{
 	NoService, BadDeadline, DeadlinePassed, DeadlineTooClose, TooDeep, QueueFull, QueueTimeout,
-	DisplacedByUrgent, NodeFull, NoTarget, OnlyColdTargets, TargetsRefused, TargetsLimited, Quarantined, ConnectFailed, PathLost, KeyMissing,
+	DisplacedByUrgent, NodeFull, NoTarget, OnlyColdTargets, TargetsRefused, TargetsLimited, Quarantined, ConnectFailed, PathLost, NodeStopping, KeyMissing,
 	KeyInvalid, KeyReused, KeyTooOld, ClaimUnavailable, ClaimsBehind, ClaimLapsed, CallerGone,
 	UpgradeRefused, BodyBroken, NoPlan, BodyTooLong, HeadersTooLong,
 }
@@ -87,7 +88,7 @@
 // reasons of Unknown and for those that a retry of the same call does not remove.
 func AdviceFor(r Reason) Advice {
 	switch r {
-	case QueueFull, QueueTimeout, DeadlineTooClose, DisplacedByUrgent, NodeFull, TargetsRefused, TargetsLimited, ConnectFailed, PathLost, OnlyColdTargets:
+	case QueueFull, QueueTimeout, DeadlineTooClose, DisplacedByUrgent, NodeFull, TargetsRefused, TargetsLimited, ConnectFailed, PathLost, NodeStopping, OnlyColdTargets:
 		return Advice{CanRetry: true, RetryAfter: shortRetryAfter}
 	case NoTarget, Quarantined, ClaimUnavailable, ClaimsBehind, ClaimLapsed:
 		return Advice{CanRetry: true, RetryAfter: longRetryAfter}
