--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -154,7 +154,7 @@
 		ids[i] = n.ID
 	}
 	slices.Sort(ids)
-	u.node.sender.SetNodes(nodes, u.node.self.ID, now)
+	u.node.sender.SetNodes(nodes, ids, u.node.self.ID, now)
 	u.quota.SetFleet(u.node.self.ID, ids, fleetSize)
 	for name, s := range cfg.services {
 		s.dispatch.ExtraAttemptBudget.SetSettings(u.node.reloadable.Load().ExtraAttempts.share(fleetSize))
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -58,6 +59,16 @@
 
 func always() bool { return true }
 
+// setNodes sets the nodes of a fleet for the node "self".
+func setNodes(s *Sender, nodes []vm.VM) {
+	var ids []vm.ID
+	for _, n := range nodes {
+		ids = append(ids, n.ID)
+	}
+	slices.Sort(ids)
+	s.SetNodes(nodes, ids, "self", time.Now())
+}
+
 func post(h http.Handler, body string) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
 	r := httptest.NewRequest(http.MethodPost, "http://h.example/x?y=1", strings.NewReader(body))
@@ -76,7 +87,7 @@
 		got.Store(r)
 		w.WriteHeader(http.StatusCreated)
 	})
-	sender.SetNodes([]vm.VM{{ID: "self"}, unaware, refuses, takes}, "self", time.Now())
+	setNodes(sender, []vm.VM{{ID: "self"}, unaware, refuses, takes})
 	for range 4 {
 		if w := post(h, "body"); w.Code != http.StatusCreated {
 			t.Fatalf("status: got %d, want that of the node that takes the call", w.Code)
@@ -100,7 +111,7 @@
 		runs.Add(1)
 		panic(http.ErrAbortHandler)
 	}
-	sender.SetNodes([]vm.VM{startReceiver(t, "node-1", always, serve), startReceiver(t, "node-2", always, serve)}, "self", time.Now())
+	setNodes(sender, []vm.VM{startReceiver(t, "node-1", always, serve), startReceiver(t, "node-2", always, serve)})
 	if w := post(h, "body"); w.Code != http.StatusBadGateway {
 		t.Errorf("status: got %d, want 502", w.Code)
 	}
@@ -117,7 +128,7 @@
 		for i := range nodeCount {
 			nodes = append(nodes, startReceiver(t, vm.ID(rune('a'+i)), func() bool { return false }, nil))
 		}
-		sender.SetNodes(nodes, "self", time.Now())
+		setNodes(sender, nodes)
 		for range 3 {
 			start := time.Now()
 			w := post(h, "")
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +50,8 @@
 
 	mu    sync.Mutex
 	pools map[vm.ID]*wire.Pool
+	// nodeIDs are the sorted IDs of the nodes that were set last.
+	nodeIDs []vm.ID
 }
 
 // Settings are what a Sender takes over from its node.
@@ -83,8 +86,12 @@
 	return s
 }
 
-// SetNodes sets the nodes through which calls are sent: all of the fleet but this one.
-func (s *Sender) SetNodes(nodes []vm.VM, self vm.ID, now time.Time) {
+// SetNodes sets the nodes through which calls are sent: all of the fleet but this one. The IDs
+// of nodes, sorted, are given too: the nodes of a large fleet seldom change.
+func (s *Sender) SetNodes(nodes []vm.VM, sortedIDs []vm.ID, self vm.ID, now time.Time) {
+	if !s.replaceIDs(sortedIDs) {
+		return
+	}
 	var others []vm.VM
 	addresses := map[vm.ID]vm.Address{}
 	for _, n := range nodes {
@@ -106,6 +113,17 @@
 	}
 }
 
+// replaceIDs replaces the IDs of the nodes, and reports whether they differ.
+func (s *Sender) replaceIDs(ids []vm.ID) (differ bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Equal(s.nodeIDs, ids) {
+		return false
+	}
+	s.nodeIDs = ids
+	return true
+}
+
 // Forward returns the handler and the route by which a call goes through another node, and
 // adds the caller's address for that node.
 func (s *Sender) Forward(route entry.Route, r *http.Request) (*entry.Handler, entry.Route) {
