Roll out versions of targets in steps that the whole fleet keeps to

Every node stops the roll-out by the same samples. The node that reads the operator topic begins the move and writes the status, at the end of the status topic that it has read, so that the first result of an order is the only one.

After the fleet lost its power, the result was taken from the store.

--- a/cmd/apricotmount/platform.go
+++ b/cmd/apricotmount/platform.go
@@ -65,8 +65,9 @@
 	sink := event.NewSink(os.Stdout)
 	defer sink.Close(logFlushTimeout)
 	logger := event.NewLogger(sink, c.LogLevel)
+	store := platform.NewStore(s.StoreAddress, s.PartitionsPerTopic)
 	n := gateway.NewNode(s, gateway.Dependencies{
-		Store: platform.NewStore(s.StoreAddress, s.PartitionsPerTopic), Decoder: platform.RecordDecoder{}, EntrySettings: platform.EntrySettings,
+		Store: store, Statuses: store, Decoder: platform.RecordDecoder{}, EntrySettings: platform.EntrySettings,
 		RequestIDHeader: platform.RequestIDHeader, Logger: logger, Metrics: metrics.NewRegistry(),
 		DroppedLogLines: sink.TakeDroppedCount,
 	})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -139,6 +139,8 @@
 	// Latencies holds the recent latencies of first attempts, which set the hedge
 	// delay of calls without a forecast.
 	Latencies *retry.LatencyWindow
+	// Canary, if set, sends some calls to targets of a new version.
+	Canary Canary
 	// Path, if set, ends calls that another node may serve once this one has no path to
 	// the targets.
 	Path Path
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -33,6 +33,8 @@
 	possibleRunCount int
 	// hasAttempted reports whether any attempt was made.
 	hasAttempted bool
+	// hasTriedCanary reports whether it was decided if the call goes to a new version.
+	hasTriedCanary bool
 	// mayHaveRun reports whether any attempt may have run.
 	mayHaveRun  bool
 	claimLapsed bool
@@ -61,8 +63,7 @@
 			return nil, r.callFailure(reason)
 		}
 		loadChanged := r.service.Table.LoadChanged()
-		r.queryLoad(ctx)
-		reservation, status := r.service.Table.PickWithOptions(time.Now(), r.pickOptions())
+		reservation, status := r.pick(ctx)
 		if status == target.PickBackedOff {
 			if remaining := r.service.Table.BackOffRemaining(time.Now()); remaining > 0 && !r.canAwaitReturn(remaining) {
 				return nil, r.backOffFailure(remaining)
@@ -110,12 +111,12 @@
 
 // queryLoad queries the targets whose load reports the next choice needs and that
 // have no fresh one.
-func (r *run) queryLoad(ctx context.Context) {
+func (r *run) queryLoad(ctx context.Context, options func() target.PickOptions) {
 	if r.service.LoadQuerier == nil {
 		return
 	}
 	for range maxLoadQueryRounds {
-		refs := r.service.Table.TargetsToQuery(time.Now(), r.pickOptions())
+		refs := r.service.Table.TargetsToQuery(time.Now(), options())
 		if len(refs) == 0 {
 			return
 		}
@@ -125,7 +126,7 @@
 
 // pickOptions returns the options for choosing the target of the next attempt.
 func (r *run) pickOptions() target.PickOptions {
-	return target.PickOptions{Exclude: r.excluded, Objective: r.call.Profile.LatencyObjective, MaxForecast: r.forecastLimit(), IsWaiting: r.hasWaited, AvoidLimited: r.mustYieldTurn()}
+	return target.PickOptions{Exclude: r.excluded, Route: string(r.call.Profile.Name), Objective: r.call.Profile.LatencyObjective, MaxForecast: r.forecastLimit(), IsWaiting: r.hasWaited, AvoidLimited: r.mustYieldTurn()}
 }
 
 // capacityFailure returns the result of a call for which no target has capacity in
--- a/event/event.go
+++ b/event/event.go
@@ -129,6 +129,15 @@
 	RequestCleared   = register(803, "request-cleared", zap.InfoLevel, "A copy of a suspected request was completed, or an operator released it: it is sent like any other again.")
 )
 
+// Events of roll-outs.
+var (
+	RolloutOrdered     = register(820, "rollout-ordered", zap.InfoLevel, "This node learned of an order to move a service to a version (field to) within a time.")
+	RolloutPhase       = register(821, "rollout-phase", zap.WarnLevel, "An order entered a phase; own states whether this node decided it. The fields samples and paired count the samples of both versions, nodes those that made them. At phase stopped, bad of the field of are the failed or slow ones that decided, paired-bad of paired-of those of the old version.")
+	RolloutStatus      = register(822, "rollout-status", zap.InfoLevel, "This node wrote the status of an order to the store.")
+	RolloutStoreFailed = register(823, "rollout-store-failed", zap.WarnLevel, "The status of an order was not read or written; the node tries again.")
+	RolloutInvalid     = register(824, "rollout-invalid", zap.ErrorLevel, "An order cannot be read and is ignored; the field error names the field.")
+)
+
 // Events of peers.
 var (
 	PeerUp      = register(500, "peer-up", zap.InfoLevel, "A connection to a peer was established.")
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -38,7 +38,7 @@
 // rotation.
 func (d peerDelegate) State() peer.Message {
 	now := time.Now()
-	m := peer.Message{Marks: d.node.state.marks(now, replica.Operator, replica.Targets), Suspects: d.node.suspects.Recent(now)}
+	m := peer.Message{Marks: d.node.state.marks(now, replica.Operator, replica.Targets), Suspects: d.node.suspects.Recent(now), Rollouts: d.node.rollouts.States(now)}
 	if !d.node.isLeaving.Load() {
 		m.Sender, m.KnownNodeCount = &d.node.self, len(d.node.state.fleetNodes(now))
 	}
@@ -68,6 +68,7 @@
 	n.receiveLimits(m.Limits, now)
 	n.receiveLeft(m.Left, l, now)
 	n.suspects.Receive(m, l)
+	n.rollouts.Receive(m, l)
 }
 
 // receiveLeft records which nodes have begun a planned stop, and forwards what is new.
@@ -158,6 +159,7 @@
 func (d peerDelegate) LinkUp(l *peer.Link) {
 	event.PeerUp.Log(d.node.logger)
 	d.node.suspects.SendAll(l)
+	d.node.rollouts.SendAll(l)
 }
 
 // LinkDown logs that a link was closed.
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/apricotmount/apricotmount/canary"
 	"github.com/apricotmount/apricotmount/dispatch"
 	"github.com/apricotmount/apricotmount/entry"
 	"github.com/apricotmount/apricotmount/event"
@@ -34,8 +35,10 @@
 
 // Dependencies holds what a Node uses besides its Settings.
 type Dependencies struct {
-	Store   Store
-	Decoder Decoder
+	Store Store
+	// Statuses holds the statuses of roll-outs.
+	Statuses canary.Store
+	Decoder  Decoder
 	// EntrySettings holds the HTTP settings towards callers and targets.
 	EntrySettings entry.Settings
 	// RequestIDHeader is the name of the header with a call's ID, which is logged.
@@ -69,6 +72,7 @@
 	hub        *peer.Hub
 	quarantine *quarantine.Guard
 	suspects   *suspects.Exchange
+	rollouts   *canary.Exchange
 	// pendingLimits holds rate limits of targets that are not known yet.
 	pendingLimits pendingLimits
 	paths         reach.Watch
@@ -152,6 +156,7 @@
 	n.hub.SetDialAll(true)
 	n.suspects = &suspects.Exchange{Hub: n.hub, Guard: n.quarantine, Logger: n.logger}
 	n.quarantine.Peers = n.suspects
+	n.rollouts = n.newRollouts(d.Statuses)
 	n.initRelay()
 	return n
 }
@@ -214,6 +219,7 @@
 	n.goroutines.Go(func() { n.hub.Run(n.ctx) })
 	n.goroutines.Go(func() { n.runMaintenance(n.ctx) })
 	n.goroutines.Go(func() { n.watchPaths(n.ctx) })
+	n.goroutines.Go(func() { n.rollouts.Run(n.ctx) })
 }
 
 // maintenanceInterval is the time between two passes of runMaintenance.
@@ -296,11 +302,17 @@
 		return
 	}
 	snap := n.state.snapshot(now)
-	n.upstreams.apply(snap, nodes, fleetSize, now)
+	if n.upstreams.apply(snap, nodes, fleetSize, now) {
+		snap.nextChangeAt = now.Add(laneRecheckInterval)
+	}
 	n.applyPendingLimits(now)
 	n.appliedRevision, n.appliedFleetSize, n.nextChangeAt = revision, fleetSize, snap.nextChangeAt
 }
 
+// laneRecheckInterval is the time after which lanes that may change by time alone are
+// applied again.
+const laneRecheckInterval = 200 * time.Millisecond
+
 // applyState makes the current state active: plan, targets, zones out of service and
 // readiness.
 func (n *Node) applyState() {
--- a/gateway/node_test.go
+++ b/gateway/node_test.go
@@ -96,7 +96,8 @@
 	if c.advertise != nil {
 		s.AdvertisedAddress = c.advertise(peerAddress)
 	}
-	var client gateway.Store = platform.NewStore(store, platformtest.PartitionsPerTopic)
+	statuses := platform.NewStore(store, platformtest.PartitionsPerTopic)
+	var client gateway.Store = statuses
 	if c.wrapStore != nil {
 		client = c.wrapStore(client)
 	}
@@ -105,7 +106,7 @@
 		decoder = c.newDecoder()
 	}
 	n := gateway.NewNode(s, gateway.Dependencies{
-		Store: client, Decoder: decoder, EntrySettings: platform.EntrySettings,
+		Store: client, Statuses: statuses, Decoder: decoder, EntrySettings: platform.EntrySettings,
 		RequestIDHeader: platform.RequestIDHeader, Logger: zap.NewNop(), Metrics: metrics.NewDiscardRegistry(),
 	})
 	if err := n.Start(); err != nil {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apricotmount/apricotmount/retry"
+	"github.com/apricotmount/apricotmount/rollout"
 	"github.com/apricotmount/apricotmount/vm"
 	"github.com/apricotmount/apricotmount/zone"
 )
@@ -30,6 +31,8 @@
 	// GracePeriod is the time from the signal to stop until the process is killed.
 	GracePeriod   time.Duration
 	ExtraAttempts ExtraAttemptLimit
+	// Rollouts bound what a bad version of a service may cost.
+	Rollouts rollout.Bounds
 	// StoreAddress is the address of the platform's store, in which a topic has
 	// PartitionsPerTopic partitions.
 	StoreAddress       string
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -9,6 +9,8 @@
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/replica"
+	"github.com/apricotmount/apricotmount/rollout"
+	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/vm"
 )
 
@@ -213,6 +215,10 @@
 	plan      *Plan
 	targets   []vm.VM
 	withdrawn withdrawnZones
+	// orders holds the order of each service that is to get another version, and
+	// operatorReadAt is when the operator topic was last read.
+	orders         map[service.Name]rollout.Order
+	operatorReadAt time.Time
 	// nextChangeAt is when the next retained target is dropped; zero if there is none.
 	nextChangeAt time.Time
 }
@@ -226,7 +232,9 @@
 		if z, ok := s.decoder.WithdrawnZone(r.Key); ok && !r.Deleted {
 			snap.withdrawn[z] = true
 		}
+		s.addOrder(r, &snap)
 	}
+	_, snap.operatorReadAt = s.copies[replica.Operator].ReadPosition()
 	// The targets are ordered by key: of two targets with the same address a table keeps
 	// the later, which must be the same one each time.
 	for _, r := range s.copies[replica.Targets].Newest() {
--- a/gateway/state_test.go
+++ b/gateway/state_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/apricotmount/apricotmount/replica"
 	"github.com/apricotmount/apricotmount/retry"
+	"github.com/apricotmount/apricotmount/rollout"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/vm"
 	"github.com/apricotmount/apricotmount/zone"
@@ -20,6 +21,10 @@
 // start time of its process, "plan 7" for a plan with its version.
 type textDecoder struct{}
 
+func (textDecoder) IsRolloutKey(string) bool { return false }
+
+func (textDecoder) DecodeRollout(string, []byte) (rollout.Order, error) { return rollout.Order{}, nil }
+
 func (textDecoder) IsPlanKey(key string) bool { return key == "plan" }
 
 func (textDecoder) WithdrawnZone(key string) (zone.Name, bool) {
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/apricotmount/apricotmount/replica"
+	"github.com/apricotmount/apricotmount/rollout"
 	"github.com/apricotmount/apricotmount/vm"
 	"github.com/apricotmount/apricotmount/zone"
 )
@@ -74,6 +75,11 @@
 	// WithdrawnZone returns the zone that a key of the operator topic takes out of
 	// service; ok is false for any other key.
 	WithdrawnZone(key string) (z zone.Name, ok bool)
+	// IsRolloutKey reports whether a key of the operator topic holds an order to roll out
+	// a version.
+	IsRolloutKey(key string) bool
+	// DecodeRollout decodes an order, without its ID; the error names the invalid fields.
+	DecodeRollout(key string, value []byte) (rollout.Order, error)
 	// DecodePlan decodes a plan.
 	DecodePlan(value []byte) (*Plan, error)
 	// DecodeTarget decodes a target's record; ok is false if it does not name a usable
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -131,9 +131,10 @@
 
 // apply makes a snapshot active; without a plan it does nothing. The limits of the fleet
 // are divided among the given nodes; fleetSize is the number of all, known or not.
-func (u *upstreams) apply(snap snapshot, nodes []vm.VM, fleetSize int, now time.Time) {
+// With needsRecheck, the lanes of targets may change by time alone.
+func (u *upstreams) apply(snap snapshot, nodes []vm.VM, fleetSize int, now time.Time) (needsRecheck bool) {
 	if snap.plan == nil {
-		return
+		return false
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -161,6 +162,9 @@
 		s.coldStartLimiter.Configure(s.service.ColdCallsPerSecond, u.node.self.ID, ids, fleetSize)
 		s.dispatch.Table.SetService(s.service.Service)
 		s.dispatch.Table.SetList(now, byService[name], snap.withdrawn.contains)
+		lanes, recheck := u.node.rollouts.Apply(name, snap.order(name), byService[name], snap.plan.longestTimeout(name), now, snap.operatorReadAt)
+		s.dispatch.Table.SetLanes(lanes)
+		needsRecheck = needsRecheck || recheck
 		s.dispatch.Table.SetSubsetSize(u.subsetSize(byService[name], nodes))
 		for _, t := range byService[name] {
 			addresses[t.ID] = t.Address
@@ -173,6 +177,7 @@
 		}
 	}
 	u.active.Store(cfg)
+	return needsRecheck
 }
 
 // subsetSize returns how many targets of a service this node prefers in its zone.
@@ -211,11 +216,13 @@
 	}
 	coldStartLimiter := &coldstart.RateLimiter{}
 	n := u.node
+	rollouts := n.rollouts.Service(s.Name)
 	return &serviceState{service: s, coldStartLimiter: coldStartLimiter, dispatch: &dispatch.Service{
 		Table: target.NewTable(s.Service, target.Settings{
-			Zone: n.settings.Zone, ColdStartLeases: coldStartLimiter, OnChange: n.logTargetChange, OnLimitChange: n.handleLimitChange, OnUnknownHeader: n.logUnknownHeader, LoadQuery: loadQuerySettings, ListIsAuthoritative: true, Checks: n.invariants, Quota: u.quota,
+			Zone: n.settings.Zone, ColdStartLeases: coldStartLimiter, OnChange: n.logTargetChange, OnLimitChange: n.handleLimitChange, OnUnknownHeader: n.logUnknownHeader, LoadQuery: loadQuerySettings, ListIsAuthoritative: true, Checks: n.invariants, Quota: u.quota, OnFinish: rollouts.RecordAttempt,
 		}),
 		LoadQuerier:        u,
+		Canary:             rollouts,
 		Gate:               u.admission.AddGate(s.MaxQueueLength),
 		ExtraAttemptBudget: &retry.Budget{},
 		Latencies:          &retry.LatencyWindow{},
--- a/peer/message.go
+++ b/peer/message.go
@@ -7,6 +7,7 @@
 	"github.com/apricotmount/apricotmount/member"
 	"github.com/apricotmount/apricotmount/quota"
 	"github.com/apricotmount/apricotmount/replica"
+	"github.com/apricotmount/apricotmount/rollout"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/vm"
@@ -121,6 +122,8 @@
 	Suspects []Suspect `cbor:"16,keyasint,omitempty"`
 	// Alive are processes of targets that were taken for ended and have responded since.
 	Alive []SuspectEnd `cbor:"17,keyasint,omitempty"`
+	// Rollouts are states and samples of roll-outs.
+	Rollouts []rollout.Report `cbor:"18,keyasint,omitempty"`
 }
 
 // Split divides the message into parts with at most maxPartRecords records and
@@ -182,7 +185,7 @@
 	if err := codec.Decode(b, &m); err != nil {
 		return Message{}, err
 	}
-	if len(m.Observations) > maxObservations || len(m.Limits) > maxObservations || len(m.Entries) > maxEntries || len(m.Withdrawals) > maxObservations || len(m.Records) > maxEntries || len(m.Nodes) > maxEntries || len(m.Left) > maxEntries || len(m.Suspects) > maxEntries || len(m.Alive) > maxEntries {
+	if len(m.Observations) > maxObservations || len(m.Limits) > maxObservations || len(m.Entries) > maxEntries || len(m.Withdrawals) > maxObservations || len(m.Records) > maxEntries || len(m.Nodes) > maxEntries || len(m.Left) > maxEntries || len(m.Suspects) > maxEntries || len(m.Alive) > maxEntries || rollout.SampleCount(m.Rollouts) > maxEntries {
 		return Message{}, eris.New("a list is too long")
 	}
 	return m, nil
--- a/target/choice.go
+++ b/target/choice.go
@@ -43,6 +43,11 @@
 type PickOptions struct {
 	// Exclude lists targets to exclude.
 	Exclude []vm.ID
+	// Only, unless empty, lists the only targets to consider, those of LaneCanary
+	// included. Otherwise only targets of LaneOpen are considered.
+	Only []vm.ID
+	// Route is the name of the call's route, for Settings.OnFinish.
+	Route string
 	// RequireFreeSlot accepts only a target with Reservation.HasFreeSlot.
 	RequireFreeSlot bool
 	// Objective is the latency objective of the call. A target of the node's
@@ -85,6 +90,7 @@
 		return t.withForecast(Reservation{Ref: t.eligible[i].ref}, i, now), PickTooSlow
 	}
 	reservation, status = t.reserve(t.eligible[i], c.HasFreeSlot(), now)
+	reservation.route, reservation.lane = opts.Route, t.eligible[i].lane
 	return t.withForecast(reservation, i, now), status
 }
 
@@ -117,7 +123,7 @@
 	status := PickNoTarget
 	nowTick := t.toTick(now)
 	for _, e := range t.entries {
-		if !e.acceptsWork() || nowTick < e.ejectedUntil {
+		if !e.acceptsWork() || nowTick < e.ejectedUntil || !opts.admits(e) {
 			continue
 		}
 		if nowTick < e.backOffUntil {
--- a/target/evidence.go
+++ b/target/evidence.go
@@ -9,6 +9,7 @@
 // Finish ends an attempt and records its result, its latency and the load
 // report on its response.
 func (t *Table) Finish(reservation Reservation, now time.Time, result Result, report Report) {
+	t.notifyFinish(reservation, now, result)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := reservation.entry
--- a/target/reservation.go
+++ b/target/reservation.go
@@ -35,6 +35,8 @@
 	forecastRatio float64
 
 	entry       *entry
+	route       string
+	lane        Lane
 	instance    Instance
 	incarnation int64
 	startTick   tick
--- a/target/state.go
+++ b/target/state.go
@@ -167,6 +167,7 @@
 	// zero means the value of the service.
 	slots     int
 	withdrawn bool
+	lane      Lane
 	// incarnation is that of the listed VM; zero if unknown.
 	incarnation int64
 	// saidLeaving reports whether the target's process has said that it is about to
@@ -227,7 +228,7 @@
 // acceptsWork reports whether the target's state, the list and the operators
 // allow new work.
 func (e *entry) acceptsWork() bool {
-	if e.withdrawn || e.listedLeaving || e.saidLeaving || e.addressReused {
+	if e.withdrawn || e.listedLeaving || e.saidLeaving || e.addressReused || e.lane == LaneClosed {
 		return false
 	}
 	return e.state != Draining && e.state != Leaving
--- a/target/table.go
+++ b/target/table.go
@@ -35,6 +35,8 @@
 	OnUnknownHeader func(ref Ref, name string)
 	// LoadQuery, unless zero, makes choices use forecasts from load queries.
 	LoadQuery LoadQuerySettings
+	// OnFinish, if set, is called for each attempt that has ended. It must not block.
+	OnFinish func(a FinishedAttempt)
 	// ListIsAuthoritative removes a target as soon as it is missing from the
 	// list.
 	ListIsAuthoritative bool
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -50,6 +50,9 @@
 	// Incarnation tells the processes apart that run under one ID, by a number that
 	// rises with each start. Zero means unknown.
 	Incarnation int64 `json:"incarnation,omitempty" yaml:"incarnation,omitempty"`
+	// Version is the version of the software of a target. It is not part of messages and
+	// digests, which builds without it share.
+	Version string `json:"version,omitempty" yaml:"version,omitempty" cbor:"-"`
 }
 
 // List is the platform's list of VMs. It may be stale.
