Judge a version by samples that reports of load do not explain

A call now goes to the new version only where a fresh report shows room, latencies are compared without the part that reported load and speed explain, and the worst fifth of the targets and one more are left out in a second comparison. A ramp before the move finds faults of rare calls.

--- a/canary/exchange.go
+++ b/canary/exchange.go
@@ -96,11 +96,11 @@
 }
 
 // Apply sets the order of a service, nil for none, and returns the lanes of its targets and
-// whether they may change by time alone. callTimeout is the longest timeout of the service's
-// calls, and operatorReadAt when the operator topic was last read.
-func (x *Exchange) Apply(name service.Name, o *rollout.Order, targets []vm.VM, callTimeout time.Duration, now, operatorReadAt time.Time) (lanes map[vm.ID]target.Lane, recheck bool) {
+// whether they may change by time alone. operatorReadAt is when the operator topic was last
+// read.
+func (x *Exchange) Apply(name service.Name, o *rollout.Order, targets []vm.VM, f rollout.Fleet, now, operatorReadAt time.Time) (lanes map[vm.ID]target.Lane, recheck bool) {
 	s := x.Service(name)
-	if s.SetOrder(o, callTimeout, now) {
+	if s.SetOrder(o, f, now) {
 		event.RolloutOrdered.Log(x.settings.Logger, zap.String("service", string(name)), zap.String("to", string(o.Version)), zap.Duration("within", o.Duration))
 		x.notify()
 	}
--- a/dispatch/canary.go
+++ b/dispatch/canary.go
@@ -41,7 +41,7 @@
 		return target.Reservation{}, false
 	}
 	options := func() target.PickOptions {
-		return target.PickOptions{Only: ids, Route: string(r.call.Profile.Name), RequireFreeSlot: true, Objective: r.call.Profile.LatencyObjective}
+		return target.PickOptions{Only: ids, Route: string(r.call.Profile.Name), RequireFreeSlot: true, RequireRoom: true, Objective: r.call.Profile.LatencyObjective}
 	}
 	r.queryLoad(ctx, options)
 	reservation, status := r.service.Table.PickWithOptions(time.Now(), options())
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -17,6 +17,7 @@
 	"github.com/apricotmount/apricotmount/quota"
 	"github.com/apricotmount/apricotmount/reach"
 	"github.com/apricotmount/apricotmount/retry"
+	"github.com/apricotmount/apricotmount/rollout"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/vm"
@@ -162,7 +163,7 @@
 		s.coldStartLimiter.Configure(s.service.ColdCallsPerSecond, u.node.self.ID, ids, fleetSize)
 		s.dispatch.Table.SetService(s.service.Service)
 		s.dispatch.Table.SetList(now, byService[name], snap.withdrawn.contains)
-		lanes, recheck := u.node.rollouts.Apply(name, snap.order(name), byService[name], snap.plan.longestTimeout(name), now, snap.operatorReadAt)
+		lanes, recheck := u.node.rollouts.Apply(name, snap.order(name), byService[name], rollout.Fleet{CallTimeout: snap.plan.longestTimeout(name), NodeCount: fleetSize}, now, snap.operatorReadAt)
 		s.dispatch.Table.SetLanes(lanes)
 		needsRecheck = needsRecheck || recheck
 		s.dispatch.Table.SetSubsetSize(u.subsetSize(byService[name], nodes))
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -10,7 +10,7 @@
 //
 // Each node sends the same small share of its calls to the new version, so that the sum
 // over the fleet is that share of all calls, whatever the views of the nodes. The calls of
-// one second go to the same two targets, which get a full load. Each of them is paired
+// one second go to the same three targets, which are full at times. Each of them is paired
 // with a call to the old version on the same route; nodes exchange both as samples, and
 // every node judges the version by all samples that it has received. Phases are merged by
 // their order: a later phase replaces an earlier one, so that a stop wins over a move, and
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -38,17 +38,39 @@
 // DefaultExposureShare is the ExposureShare if the settings name none.
 const DefaultExposureShare = 0.1
 
-// plannedShare is the part of ExposureShare that calls use on purpose. The rest is for
-// rounding, and for calls of the new version that fail during the move.
-const plannedShare = 0.6
+// Parts of the exposure that an order allows, which is ExposureShare of all calls until the
+// deadline. What is left of it is for rounding and for the time until a version that shows
+// its fault only during the move is stopped everywhere.
+const (
+	// plannedPart is used by the share of calls while the version is observed.
+	plannedPart = 0.6
+	// rampPart is used in addition by the ramp, in which more samples show faults of rare
+	// calls before all calls move.
+	rampPart = 0.2
+	// rampFactor is the share of calls during the ramp, as a multiple of ExposureShare.
+	rampFactor = 2.5
+)
+
+// exposureShare returns the share of all calls that a bad version may get.
+func (b Bounds) exposureShare() float64 {
+	if b.ExposureShare <= 0 {
+		return DefaultExposureShare
+	}
+	return min(b.ExposureShare, 1)
+}
 
 // callShare returns the share of calls that each node sends to a new version.
-func (b Bounds) callShare() float64 {
-	share := b.ExposureShare
-	if share <= 0 {
-		share = DefaultExposureShare
+func (b Bounds) callShare(isRamp bool) float64 {
+	if isRamp {
+		return min(rampFactor*b.exposureShare(), 1)
 	}
-	return plannedShare * min(share, 1)
+	return plannedPart * b.exposureShare()
+}
+
+// rampTime returns the length of the ramp of an order, which ends with the begin of the
+// move: as long as it takes the calls beyond callShare to use up rampPart.
+func (o Order) rampTime() time.Duration {
+	return time.Duration(rampPart / (rampFactor - plannedPart) * float64(o.Duration))
 }
 
 const (
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -23,6 +23,7 @@
 	Route, Target uint32
 	Flags         SampleFlags
 	LatencyMillis uint32
+	RatioPercent  uint32
 	// AgeMillis is the time since the attempt ended, in milliseconds.
 	AgeMillis uint32
 }
@@ -36,8 +37,11 @@
 	flagOpenEnded
 )
 
-// maxMillis bounds the times in reports.
-const maxMillis = 1 << 31
+// maxMillis bounds the times in reports, and maxRatio the ratios.
+const (
+	maxMillis = 1 << 31
+	maxRatio  = 1000
+)
 
 func toMillis(d time.Duration) uint32 {
 	return uint32(min(max(d, 0)/time.Millisecond, maxMillis))
@@ -53,7 +57,7 @@
 	for _, s := range samples {
 		reported := ReportedSample{
 			Node: s.Node, Number: s.Number, Route: s.Route, Target: s.Target,
-			LatencyMillis: toMillis(s.Latency), AgeMillis: toMillis(now.Sub(s.At)),
+			LatencyMillis: toMillis(s.Latency), RatioPercent: uint32(min(max(s.Ratio, 0), maxRatio) * 100), AgeMillis: toMillis(now.Sub(s.At)),
 		}
 		reported.set(flagNew, s.IsNew)
 		reported.set(flagFailure, s.IsFailure)
@@ -80,7 +84,7 @@
 		samples = append(samples, Sample{
 			Node: s.Node, Number: s.Number, Route: s.Route, Target: s.Target,
 			IsNew: s.Flags&flagNew != 0, IsFailure: s.Flags&flagFailure != 0, IsOpenEnded: s.Flags&flagOpenEnded != 0,
-			Latency: fromMillis(s.LatencyMillis), At: now.Add(-fromMillis(s.AgeMillis)),
+			Latency: fromMillis(s.LatencyMillis), Ratio: float64(s.RatioPercent) / 100, At: now.Add(-fromMillis(s.AgeMillis)),
 		})
 	}
 	return samples
--- a/rollout/sample.go
+++ b/rollout/sample.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -21,8 +20,14 @@
 	// is only a lower bound.
 	IsOpenEnded bool
 	Latency     time.Duration
+	// Ratio is the latency forecast from the load and the speed that the target reported,
+	// as a multiple of the usual one; 1 without a report.
+	Ratio float64
 	// At is when the attempt ended.
 	At time.Time
+
+	// latency is set while samples are judged.
+	latency rating
 }
 
 type sampleKey struct{ node, number uint32 }
@@ -70,17 +75,26 @@
 	return n
 }
 
-// median returns the median latency of completed samples, and their number.
-func median(samples []Sample) (latency time.Duration, n int) {
-	var latencies []time.Duration
+// relativeLatency returns the latency without the part that the reported load and speed of
+// the target explain.
+func (s Sample) relativeLatency() time.Duration {
+	return time.Duration(float64(s.Latency) / max(1, s.Ratio))
+}
+
+// medians returns the median latency and relative latency of the completed samples of the
+// old version, and their number.
+func medians(samples []Sample) (latency, relative time.Duration, n int) {
+	var latencies, relatives []time.Duration
 	for _, s := range samples {
-		if !s.IsOpenEnded {
+		if !s.IsNew && !s.IsOpenEnded {
 			latencies = append(latencies, s.Latency)
+			relatives = append(relatives, s.relativeLatency())
 		}
 	}
 	if len(latencies) == 0 {
-		return 0, 0
+		return 0, 0, 0
 	}
-	slices.SortFunc(latencies, cmp.Compare[time.Duration])
-	return latencies[len(latencies)/2], len(latencies)
+	slices.Sort(latencies)
+	slices.Sort(relatives)
+	return latencies[len(latencies)/2], relatives[len(relatives)/2], len(latencies)
 }
--- a/rollout/service.go
+++ b/rollout/service.go
@@ -26,9 +26,13 @@
 	// turnInterval is the time for which the same targets get the calls of the new
 	// version.
 	turnInterval = time.Second
-	// turnTargets is the number of targets that get these calls: one that is to be full,
-	// and one for the calls beyond.
-	turnTargets = 2
+	// turnTargets is the number of targets that get these calls: few, so that they are
+	// full at times.
+	turnTargets = 3
+	// maxSamplesPerSecond bounds the samples of the new version that the whole fleet
+	// exchanges, and maxSavedSamples those that a node may make at once.
+	maxSamplesPerSecond = 40
+	maxSavedSamples     = 3.0
 	// maxSaved is the number of calls that a route may send later because no target of
 	// the new version was free.
 	maxSaved = 2.0
@@ -39,7 +43,7 @@
 	// targets of its version are listed.
 	placedAfter = 10 * time.Second
 	// verdictInterval is the least time between two verdicts.
-	verdictInterval = 200 * time.Millisecond
+	verdictInterval = 400 * time.Millisecond
 )
 
 // State is the state of an order.
@@ -86,14 +90,27 @@
 	outbox              []Sample
 	shares, pairsWanted map[profile.Name]float64
 	callTimeout         time.Duration
+	// fleetSize is the number of nodes that share maxSamplesPerSecond; sampleTokens and
+	// sampledAt are the state of this node's part.
+	fleetSize    int
+	sampleTokens float64
+	sampledAt    time.Time
+}
+
+// Fleet holds what a roll-out depends on besides its order.
+type Fleet struct {
+	// CallTimeout is the longest timeout of the service's calls.
+	CallTimeout time.Duration
+	// NodeCount is the number of nodes of the fleet.
+	NodeCount int
 }
 
 // SetOrder sets the order that the operator's records hold; nil if there is none. It reports
 // whether the order is new.
-func (s *Service) SetOrder(o *Order, callTimeout time.Duration, now time.Time) (isNew bool) {
+func (s *Service) SetOrder(o *Order, f Fleet, now time.Time) (isNew bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.callTimeout = callTimeout
+	s.callTimeout, s.fleetSize = f.CallTimeout, f.NodeCount
 	if o == nil && !s.hasOrder || o != nil && s.hasOrder && o.ID == s.state.Order.ID {
 		return false
 	}
@@ -288,6 +305,9 @@
 	if !s.takeShare(route) {
 		return nil
 	}
+	if s.isRamp(time.Now()) {
+		return slices.Clone(s.canaries)
+	}
 	first := int(time.Now().UnixMilli() / turnInterval.Milliseconds() % int64(len(s.canaries)))
 	ids := make([]vm.ID, 0, turnTargets)
 	for i := range min(turnTargets, len(s.canaries)) {
@@ -296,6 +316,30 @@
 	return ids
 }
 
+// isRamp reports whether the move is about to begin. s.mu must be held.
+func (s *Service) isRamp(now time.Time) bool {
+	begin := s.state.Order.moveAfter(s.callTimeout) - s.state.Order.rampTime()
+	age := now.Sub(s.state.StartedAt)
+	return s.state.Phase == Observing && age >= begin && age < begin+s.state.Order.rampTime() && s.log.newCount() >= minNewSamples
+}
+
+// takeSample reports whether this node may exchange one more sample of the new version.
+// s.mu must be held.
+func (s *Service) takeSample(now time.Time) bool {
+	perSecond := float64(maxSamplesPerSecond) / float64(max(1, s.fleetSize))
+	if s.sampledAt.IsZero() {
+		s.sampleTokens = maxSavedSamples
+	} else {
+		s.sampleTokens = min(maxSavedSamples, s.sampleTokens+perSecond*now.Sub(s.sampledAt).Seconds())
+	}
+	s.sampledAt = now
+	if s.sampleTokens < 1 {
+		return false
+	}
+	s.sampleTokens--
+	return true
+}
+
 // takeShare counts one call of a route and reports whether it is one of those for the new
 // version. A random start makes the sum over nodes with few calls each as exact as with
 // many. s.mu must be held.
@@ -307,7 +351,7 @@
 	if !known {
 		saved = rand.Float64()
 	}
-	saved = min(saved+s.Bounds.callShare(), maxSaved)
+	saved = min(saved+s.Bounds.callShare(s.isRamp(time.Now())), maxSaved)
 	isDue := saved >= 1
 	if isDue {
 		saved--
@@ -338,12 +382,13 @@
 	isNew := a.Lane == target.LaneCanary
 	switch {
 	case isNew:
-		if s.pairsWanted != nil {
-			s.pairsWanted[route]++
+		if !s.takeSample(a.EndedAt) {
+			return
 		}
+		s.pairsWanted[route]++
 	case s.state.Phase == Moving:
 		// All calls go to the new version; a share of them are samples.
-		if isNew = s.takeShare(route) && slices.Contains(s.canaries, a.ID); !isNew {
+		if isNew = slices.Contains(s.canaries, a.ID) && s.takeShare(route) && s.takeSample(a.EndedAt); !isNew {
 			return
 		}
 	case s.pairsWanted[route] >= 1:
@@ -353,7 +398,7 @@
 	}
 	sample := Sample{
 		Node: s.Node, Number: s.number.Add(1), Route: hash32(string(a.Route)), Target: hash32(string(a.ID)),
-		IsNew: isNew, IsFailure: a.Result == target.ServerFailed, IsOpenEnded: isOpenEnded, Latency: a.Latency, At: a.EndedAt,
+		IsNew: isNew, IsFailure: a.Result == target.ServerFailed, IsOpenEnded: isOpenEnded, Latency: a.Latency, Ratio: a.ForecastRatio, At: a.EndedAt,
 	}
 	if s.log.add(sample) {
 		s.outbox = append(s.outbox, sample)
@@ -402,7 +447,7 @@
 		return false
 	}
 	s.judgedAt, s.judgedCount = now, len(s.log.samples)
-	v := judge(&s.log, now)
+	v := judge(&s.log, len(s.canaries), now)
 	if !v.IsBad {
 		return false
 	}
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -1,35 +1,44 @@
 package rollout
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
 const (
-	// slowFactor is the multiple of the old version's median latency on the same route
-	// from which an attempt is slow.
-	slowFactor = 2.5
+	// slowFactor and slowRelativeFactor are the multiples of the old version's median
+	// latency and relative latency on the same route from which an attempt is slow. A
+	// target that is full, or whose VM is slow at that moment, is not slow by its version.
+	slowFactor         = 2.5
+	slowRelativeFactor = 2.0
 	// minPairedLatencies is the number of latencies of the old version on a route that
 	// its median needs.
 	minPairedLatencies = 8
 	// minEvidence is the least log-likelihood ratio of a bad version to a good one. A
 	// verdict is sought several times a second, each time with more samples.
-	minEvidence = 9.0
+	minEvidence = 6.0
 	// minBadSamples is the least number of failed or slow attempts of a bad version.
 	minBadSamples = 5
-	// minBadTargets is the number of targets that a bad version fails on, if as many were
-	// tried: faults of single targets are not the version's.
-	minBadTargets = 3
-	// minFailingTargetShare and minSlowTargetShare are the shares of the tried targets
-	// that a bad version fails on, or is mostly slow on.
-	minFailingTargetShare = 0.4
-	minSlowTargetShare    = 0.6
+	// minTriedTargets is the number of targets that must have been tried, if the version
+	// has as many.
+	minTriedTargets = 6
+	// trimmedShare is the share of the tried targets that may be bad by their own faults,
+	// which are not the version's: these, and one more, are left out in a second
+	// comparison, which needs restEvidence.
+	trimmedShare = 0.2
+	restEvidence = 3.0
+	// wholeEvidence is the evidence that a version with fewer targets needs, all of which
+	// must be bad.
+	wholeEvidence = 2 * minEvidence
 	// baseFailureRate and baseSlowRate are the least rates that a good version is assumed
 	// to have. Shared VMs slow down for some hundred milliseconds at a time.
 	baseFailureRate = 0.01
-	baseSlowRate    = 0.25
-	// minSlowRate is the least rate of slow attempts of a bad version.
-	minSlowRate = 0.5
+	baseSlowRate    = 0.08
+	// minBadRate is the least rate of failed or slow attempts of a bad version.
+	minBadRate = 0.1
 	// recentWindow is the time in which a version that has become bad is compared anew.
 	recentWindow = 4 * time.Second
 )
@@ -49,25 +58,24 @@
 }
 
 // judge compares the new version with the old one over all samples and over the recent
-// ones, on all routes together and on each.
-func judge(l *sampleLog, now time.Time) Verdict {
-	for _, samples := range [][]Sample{l.samples, l.since(now.Add(-recentWindow))} {
-		byRoute := map[uint32][]Sample{}
-		for _, s := range samples {
-			byRoute[s.Route] = append(byRoute[s.Route], s)
+// ones, on all routes together and on each. targetCount is the number of the new version's
+// targets.
+func judge(l *sampleLog, targetCount int, now time.Time) Verdict {
+	for _, samples := range [][]Sample{slices.Clone(l.samples), l.since(now.Add(-recentWindow))} {
+		slices.SortStableFunc(samples, func(a, b Sample) int { return cmp.Compare(a.Route, b.Route) })
+		scopes := splitByRoute(samples)
+		for _, scope := range scopes {
+			rateLatencies(scope)
 		}
-		slow := slowSamples(byRoute)
-		scopes := [][]Sample{samples}
-		if len(byRoute) > 1 {
-			for _, routeSamples := range byRoute {
-				scopes = append(scopes, routeSamples)
-			}
+		if len(scopes) > 1 {
+			scopes = append(scopes, samples)
 		}
 		for _, scope := range scopes {
-			if v := compareFailures(scope); v.IsBad {
+			if v := compare(scope, failureRating, baseFailureRate, targetCount); v.IsBad {
 				return v
 			}
-			if v := compareLatencies(scope, slow); v.IsBad {
+			if v := compare(scope, latencyRating, baseSlowRate, targetCount); v.IsBad {
+				v.IsSlow = true
 				return v
 			}
 		}
@@ -75,129 +83,151 @@
 	return Verdict{}
 }
 
-// slowSamples returns for each sample whose route has enough latencies whether it was slow.
-// An attempt that ended early without a response shows neither.
-func slowSamples(byRoute map[uint32][]Sample) map[sampleKey]bool {
-	slow := map[sampleKey]bool{}
-	for _, samples := range byRoute {
-		var paired []Sample
-		for _, s := range samples {
-			if !s.IsNew {
-				paired = append(paired, s)
-			}
-		}
-		m, n := median(paired)
-		if n < minPairedLatencies {
-			continue
-		}
-		limit := time.Duration(slowFactor * float64(m))
-		for _, s := range samples {
-			isSlow := s.Latency > limit
-			if isSlow || !s.IsOpenEnded {
-				slow[sampleKey{s.Node, s.Number}] = isSlow
-			}
+// splitByRoute splits samples that are ordered by route.
+func splitByRoute(samples []Sample) (scopes [][]Sample) {
+	for start := 0; start < len(samples); {
+		end := start
+		for end < len(samples) && samples[end].Route == samples[start].Route {
+			end++
 		}
+		scopes = append(scopes, samples[start:end])
+		start = end
 	}
-	return slow
+	return scopes
 }
 
-// tally counts the samples of both versions and the targets of the new one.
-type tally struct {
-	newCount, newBad, pairedCount, pairedBad int
-	// countByTarget and badByTarget count the samples of each target of the new version.
-	countByTarget, badByTarget map[uint32]int
-}
+// rating is whether a sample is bad in one respect.
+type rating uint8
 
-func (t *tally) add(s Sample, isBad bool) {
-	bad := 0
-	if isBad {
-		bad = 1
-	}
-	if !s.IsNew {
-		t.pairedCount++
-		t.pairedBad += bad
+const (
+	unrated rating = iota
+	good
+	bad
+)
+
+// rateLatencies sets Sample.latency of the samples of one route, if the old version has
+// enough latencies. An attempt that ended early without a response shows nothing.
+func rateLatencies(samples []Sample) {
+	latency, relative, n := medians(samples)
+	if n < minPairedLatencies {
 		return
 	}
-	t.newCount++
-	t.newBad += bad
-	t.countByTarget[s.Target]++
-	t.badByTarget[s.Target] += bad
+	limit := time.Duration(slowFactor * float64(latency))
+	relativeLimit := time.Duration(slowRelativeFactor * float64(relative))
+	for i := range samples {
+		s := &samples[i]
+		switch {
+		case s.Latency > limit && s.relativeLatency() > relativeLimit:
+			s.latency = bad
+		case !s.IsOpenEnded:
+			s.latency = good
+		}
+	}
 }
 
-func newTally() tally {
-	return tally{countByTarget: map[uint32]int{}, badByTarget: map[uint32]int{}}
+// failureRating and latencyRating return the ratings of a sample.
+func failureRating(s *Sample) rating {
+	switch {
+	case s.IsOpenEnded:
+		return unrated
+	case s.IsFailure:
+		return bad
+	default:
+		return good
+	}
 }
 
-// verdict returns the verdict on the counted samples, with the number of targets that count
-// as bad.
-func (t *tally) verdict(badTargets int, minTargetShare, baseRate, minRate float64) Verdict {
-	v := Verdict{
-		NewCount: t.newCount, NewBad: t.newBad, PairedCount: t.pairedCount, PairedBad: t.pairedBad,
-		BadTargets: badTargets, TriedTargets: len(t.countByTarget),
+func latencyRating(s *Sample) rating { return s.latency }
+
+// compare compares the rates of bad samples of both versions.
+func compare(samples []Sample, rate func(s *Sample) rating, baseRate float64, targetCount int) (v Verdict) {
+	var newCount, paired count
+	for i := range samples {
+		s := &samples[i]
+		switch r := rate(s); {
+		case r == unrated:
+		case s.IsNew:
+			newCount.add(r == bad)
+		default:
+			paired.add(r == bad)
+		}
+	}
+	v = Verdict{NewCount: newCount.all, NewBad: newCount.bad, PairedCount: paired.all, PairedBad: paired.bad}
+	if v.NewBad < minBadSamples || float64(v.NewBad) < minBadRate*float64(v.NewCount) {
+		return v
 	}
-	if t.newBad < minBadSamples || badTargets < min(minBadTargets, v.TriedTargets) {
+	v.Evidence = evidence(newCount, paired, baseRate)
+	if v.Evidence < minEvidence {
 		return v
 	}
-	if float64(badTargets) < minTargetShare*float64(v.TriedTargets) || float64(t.newBad) < minRate*float64(t.newCount) {
+	targets := countByTarget(samples, rate)
+	v.TriedTargets, v.BadTargets = len(targets), badTargets(targets)
+	if targetCount < minTriedTargets {
+		v.IsBad = v.Evidence >= wholeEvidence && v.BadTargets >= targetCount
 		return v
 	}
-	v.Evidence = evidence(t.newBad, t.newCount, t.pairedBad, t.pairedCount, baseRate)
-	v.IsBad = v.Evidence >= minEvidence
+	trimmed := 1 + int(math.Ceil(trimmedShare*float64(v.TriedTargets)))
+	v.IsBad = v.TriedTargets >= minTriedTargets && evidence(withoutWorst(targets, trimmed), paired, baseRate) >= restEvidence
 	return v
 }
 
-// compareFailures compares the rates of server errors.
-func compareFailures(samples []Sample) Verdict {
-	t := newTally()
-	for _, s := range samples {
-		if !s.IsOpenEnded {
-			t.add(s, s.IsFailure)
-		}
+// count counts samples and the bad ones among them.
+type count struct{ all, bad int }
+
+func (c *count) add(isBad bool) {
+	c.all++
+	if isBad {
+		c.bad++
 	}
-	failing := 0
-	for _, n := range t.badByTarget {
-		if n > 0 {
-			failing++
+}
+
+// countByTarget counts the samples of each target of the new version.
+func countByTarget(samples []Sample, rate func(s *Sample) rating) []count {
+	byTarget := map[uint32]count{}
+	for i := range samples {
+		s := &samples[i]
+		if r := rate(s); s.IsNew && r != unrated {
+			c := byTarget[s.Target]
+			c.add(r == bad)
+			byTarget[s.Target] = c
 		}
 	}
-	return t.verdict(failing, minFailingTargetShare, baseFailureRate, 0)
+	return slices.Collect(maps.Values(byTarget))
 }
 
-// compareLatencies compares the rates of slow attempts.
-func compareLatencies(samples []Sample, slow map[sampleKey]bool) Verdict {
-	t := newTally()
-	for _, s := range samples {
-		if isSlow, ok := slow[sampleKey{s.Node, s.Number}]; ok {
-			t.add(s, isSlow)
+// badTargets returns the number of targets with bad samples.
+func badTargets(targets []count) (n int) {
+	for _, c := range targets {
+		if c.bad > 0 {
+			n++
 		}
 	}
-	mostlySlow := 0
-	for target, n := range t.badByTarget {
-		if 2*n > t.countByTarget[target] {
-			mostlySlow++
-		}
+	return n
+}
+
+// withoutWorst returns the samples of all targets but the n with the most bad ones.
+func withoutWorst(targets []count, n int) (rest count) {
+	byBad := slices.SortedFunc(slices.Values(targets), func(a, b count) int { return cmp.Compare(b.bad, a.bad) })
+	for _, c := range byBad[min(n, len(byBad)):] {
+		rest.all += c.all
+		rest.bad += c.bad
 	}
-	v := t.verdict(mostlySlow, minSlowTargetShare, baseSlowRate, minSlowRate)
-	v.IsSlow = v.IsBad
-	return v
+	return rest
 }
 
 // evidence returns the log-likelihood ratio of the new version's own bad rate to that of
 // the old version, of which one more sample than seen is assumed to be bad; zero if the new
 // version is not worse.
-func evidence(newBad, newCount, pairedBad, pairedCount int, baseRate float64) float64 {
-	if newCount == 0 {
+func evidence(new, paired count, baseRate float64) float64 {
+	if new.all == 0 {
 		return 0
 	}
-	expected := max(baseRate, float64(pairedBad+1)/float64(pairedCount+2))
-	if pairedCount == 0 {
-		expected = max(baseRate, 0.5)
-	}
-	rate := float64(newBad) / float64(newCount)
+	expected := max(baseRate, float64(paired.bad+1)/float64(paired.all+2))
+	rate := float64(new.bad) / float64(new.all)
 	if rate <= expected {
 		return 0
 	}
-	return xLogY(newBad, rate/expected) + xLogY(newCount-newBad, (1-rate)/(1-expected))
+	return xLogY(new.bad, rate/expected) + xLogY(new.all-new.bad, (1-rate)/(1-expected))
 }
 
 // xLogY returns n times the natural logarithm of y, and 0 if n is 0.
--- a/target/choice.go
+++ b/target/choice.go
@@ -50,6 +50,9 @@
 	Route string
 	// RequireFreeSlot accepts only a target with Reservation.HasFreeSlot.
 	RequireFreeSlot bool
+	// RequireRoom accepts only targets with a fresh report that shows a free slot and no
+	// slow VM. Where load queries are disabled it has no effect.
+	RequireRoom bool
 	// Objective is the latency objective of the call. A target of the node's
 	// zone that meets it is preferred to faster ones in other zones. Zero means
 	// that there is no objective.
@@ -146,6 +149,11 @@
 			continue
 		}
 		t.addCandidate(e, nowTick)
+		if opts.RequireRoom && !forLoadQuery && !t.hasRoom(nowTick) {
+			t.candidates, t.eligible = t.candidates[:len(t.candidates)-1], t.eligible[:len(t.eligible)-1]
+			status = PickNoneAvailable
+			continue
+		}
 		if heldBack {
 			t.candidates[len(t.candidates)-1].Forecast = math.MaxInt64
 		}
--- a/target/lane.go
+++ b/target/lane.go
@@ -50,7 +50,10 @@
 	Result  Result
 	// Latency is the time from the reservation to the end.
 	Latency time.Duration
-	EndedAt time.Time
+	// ForecastRatio is the forecast latency divided by the baseline service time: the
+	// load and the speed that the target reported. Zero without a fresh report.
+	ForecastRatio float64
+	EndedAt       time.Time
 }
 
 // notifyFinish calls Settings.OnFinish, if set.
@@ -59,6 +62,20 @@
 		return
 	}
 	t.settings.OnFinish(FinishedAttempt{
-		ID: r.Ref.ID, Route: r.route, Lane: r.lane, WasCold: r.IsCold, Result: result, Latency: now.Sub(r.StartedAt), EndedAt: now,
+		ID: r.Ref.ID, Route: r.route, Lane: r.lane, WasCold: r.IsCold, Result: result, Latency: now.Sub(r.StartedAt), ForecastRatio: r.forecastRatio, EndedAt: now,
 	})
 }
+
+// maxRoomRatio is the longest forecast of a target with room, as a multiple of the baseline
+// service time: that of one whose last free slot is taken.
+const maxRoomRatio = 2.0
+
+// hasRoom reports whether the last candidate has a fresh report that shows a free slot and no
+// slow VM. t.mu must be held.
+func (t *Table) hasRoom(now tick) bool {
+	if t.settings.LoadQuery == (LoadQuerySettings{}) {
+		return true
+	}
+	last := len(t.candidates) - 1
+	return t.hasFreshReport(t.eligible[last], now) && t.candidates[last].ForecastRatio <= maxRoomRatio
+}
