Find the tenant of a call by its key, and keep the key from targets

A node now finds the tenant by a digest of the key, sets its name after the hop-by-hop headers are gone, drops trailers, refuses unknown, absent and repeated keys with 401 and, when its configuration may be too old to know a key, with 503. The tenant's priority goes before the route's, the queue goes round by tenant, and the quarantine identifies a request by tenant.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -16,6 +16,7 @@
 	"github.com/apricotmount/apricotmount/retry"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/target"
+	"github.com/apricotmount/apricotmount/tenant"
 	"github.com/apricotmount/apricotmount/wire"
 )
 
@@ -238,10 +239,11 @@
 
 // parseRequest parses a request, or returns the reason for rejecting it.
 func (h *Handler) parseRequest(r *http.Request, now time.Time) (in inboundCall, failure outcome.Failure) {
-	route, ok := h.Directory.Route(hostWithoutPort(r.Host), r.URL.Path)
+	route, ok := h.Directory.Route(HostWithoutPort(r.Host), r.URL.Path)
 	if !ok {
 		return inboundCall{}, notRun(outcome.NoService)
 	}
+	route = route.withTenantUrgency(tenant.FromContext(r.Context()))
 	if r.Header.Get("Upgrade") != "" {
 		return inboundCall{}, notRun(outcome.UpgradeRefused)
 	}
@@ -307,8 +309,12 @@
 	return cmp.Or(h.Settings.CallerHeader, defaultCallerHeader)
 }
 
-// caller returns the identity of the caller, which is used for fair queueing only.
+// caller returns the identity of the caller, which is used for fair queueing only: its
+// tenant, if the configuration has any.
 func (h *Handler) caller(r *http.Request) admission.Caller {
+	if t := tenant.FromContext(r.Context()); t != nil && t.Name != "" {
+		return admission.Caller(t.Name)
+	}
 	first, _, _ := strings.Cut(r.Header.Get(h.callerHeader()), ",")
 	if first = strings.TrimSpace(first); first != "" {
 		return admission.Caller(first)
--- a/entry/header.go
+++ b/entry/header.go
@@ -84,8 +84,8 @@
 	return n
 }
 
-// hostWithoutPort returns the host without its port, in lower case.
-func hostWithoutPort(hostport string) string {
+// HostWithoutPort returns the host without its port, in lower case.
+func HostWithoutPort(hostport string) string {
 	host, _, err := net.SplitHostPort(hostport)
 	if err != nil {
 		host = hostport
--- a/entry/identity.go
+++ b/entry/identity.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/apricotmount/apricotmount/quarantine"
+	"github.com/apricotmount/apricotmount/tenant"
 )
 
 // prefixBytes is the length of the beginning of a streamed body by which its request is
@@ -84,6 +85,10 @@
 	if !h.Settings.OmitProductHeaders {
 		parts = []string{string(h.caller(r))}
 	}
+	if t := tenant.FromContext(r.Context()); t != nil {
+		// A key may be replaced; the tenant stays.
+		parts = append(parts, string(t.Name))
+	}
 	for _, name := range credentialHeaders {
 		parts = append(parts, r.Header.Values(name)...)
 	}
@@ -124,7 +129,7 @@
 		}
 	}
 	i.digest = quarantine.Request{
-		Caller: i.caller, Method: i.inbound.Method, Host: hostWithoutPort(i.inbound.Host), URI: i.inbound.URL.RequestURI(),
+		Caller: i.caller, Method: i.inbound.Method, Host: HostWithoutPort(i.inbound.Host), URI: i.inbound.URL.RequestURI(),
 		BodyLength: length, Body: start,
 	}.Digest()
 	i.isSet = true
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -13,6 +13,7 @@
 
 	"github.com/apricotmount/apricotmount/dispatch"
 	"github.com/apricotmount/apricotmount/target"
+	"github.com/apricotmount/apricotmount/tenant"
 	"github.com/apricotmount/apricotmount/wire"
 )
 
@@ -155,6 +156,8 @@
 	}
 	header := s.inbound.Header.Clone()
 	stripHopByHop(header)
+	caller := tenant.FromContext(s.inbound.Context())
+	setTenant(header, s.handler.protocol(), caller)
 	s.handler.protocol().SetDeadline(header, time.Until(a.Deadline))
 	if expect := s.handler.protocol().ExpectHeader; expect != "" {
 		header.Set(expect, string(a.Target.ID))
@@ -171,7 +174,10 @@
 		Header:        header,
 		Body:          s.body.open(),
 		ContentLength: s.body.length,
-		Trailer:       s.inbound.Trailer,
+	}
+	if caller == nil {
+		// With tenants, a trailer could carry a key or the name of a tenant.
+		out.Trailer = s.inbound.Trailer
 	}
 	if _, ok := header["User-Agent"]; !ok {
 		// An empty value keeps net/http from adding its default User-Agent.
--- a/gateway/plan.go
+++ b/gateway/plan.go
@@ -10,6 +10,7 @@
 	"github.com/apricotmount/apricotmount/profile"
 	"github.com/apricotmount/apricotmount/quota"
 	"github.com/apricotmount/apricotmount/service"
+	"github.com/apricotmount/apricotmount/tenant"
 	"github.com/apricotmount/apricotmount/vm"
 	"github.com/apricotmount/apricotmount/zone"
 )
@@ -26,6 +27,8 @@
 	// length of the prefix.
 	RoutesByHost map[string][]Route
 	Limits       Limits
+	// Tenants finds the tenants of calls; nil if the plan has none.
+	Tenants *tenant.Directory
 }
 
 // Limits bound the requests and connections of callers; zero values mean no limit.
@@ -51,6 +54,8 @@
 type Route struct {
 	PathPrefix string
 	Profile    profile.Profile
+	// IsPublic reports whether calls need no key.
+	IsPublic bool
 	// Services are the services among which the route's calls are divided by weight.
 	Services []WeightedService
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -19,7 +19,7 @@
 func (n *Node) initRelay() {
 	n.receiver = &relay.Receiver{
 		Handler: n.handler, Self: n.self.ID, Instance: strconv.FormatUint(uint64(n.hub.Self), 16),
-		IsMember: n.isMemberIP, CanServe: n.isReady,
+		IsMember: n.isMemberIP, CanServe: n.isReady, Prepare: n.relayedTenant,
 		OnForeign: func(remote string) { event.PeerRefused.Log(n.logger, zap.String("remote", remote)) },
 	}
 	n.sender = relay.NewSender(relay.Settings{
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -33,6 +33,14 @@
 		n.refuse(w, r, status, reason)
 		return
 	}
+	r, status, reason := n.authenticate(plan, r)
+	if reason != "" {
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", retryAfterSeconds)
+		}
+		n.refuse(w, r, status, reason)
+		return
+	}
 	if limit := plan.Limits.MaxBodyBytes; limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -47,6 +47,8 @@
 	NoPlan            Reason = "no-plan"     // no operator configuration has been received
 	BodyTooLong       Reason = "body-too-long"
 	HeadersTooLong    Reason = "headers-too-long"
+	UnknownKey        Reason = "unknown-key"    // no tenant holds the call's API key
+	KeyUnverified     Reason = "key-unverified" // the node's configuration may be too old to know the API key
 )
 
 // Reasons for the outcome Unknown.
@@ -63,7 +65,7 @@
 	NoService, BadDeadline, DeadlinePassed, DeadlineTooClose, TooDeep, QueueFull, QueueTimeout,
 	DisplacedByUrgent, NodeFull, NoTarget, OnlyColdTargets, TargetsRefused, TargetsLimited, Quarantined, ConnectFailed, PathLost, NodeStopping, KeyMissing,
 	KeyInvalid, KeyReused, KeyTooOld, ClaimUnavailable, ClaimsBehind, ClaimLapsed, CallerGone,
-	UpgradeRefused, BodyBroken, NoPlan, BodyTooLong, HeadersTooLong,
+	UpgradeRefused, BodyBroken, NoPlan, BodyTooLong, HeadersTooLong, UnknownKey, KeyUnverified,
 }
 
 // UnknownReasons lists all reasons for the outcome Unknown.
@@ -88,7 +90,7 @@
 // reasons of Unknown and for those that a retry of the same call does not remove.
 func AdviceFor(r Reason) Advice {
 	switch r {
-	case QueueFull, QueueTimeout, DeadlineTooClose, DisplacedByUrgent, NodeFull, TargetsRefused, TargetsLimited, ConnectFailed, PathLost, NodeStopping, OnlyColdTargets:
+	case QueueFull, QueueTimeout, DeadlineTooClose, DisplacedByUrgent, NodeFull, TargetsRefused, TargetsLimited, ConnectFailed, PathLost, NodeStopping, OnlyColdTargets, KeyUnverified:
 		return Advice{CanRetry: true, RetryAfter: shortRetryAfter}
 	case NoTarget, Quarantined, ClaimUnavailable, ClaimsBehind, ClaimLapsed:
 		return Advice{CanRetry: true, RetryAfter: longRetryAfter}
--- a/relay/receiver.go
+++ b/relay/receiver.go
@@ -29,6 +29,9 @@
 	// CanServe reports whether the node takes calls: it has its configuration and does not
 	// leave.
 	CanServe func() bool
+	// Prepare, if set, returns a relayed call with what the sender has stated about its
+	// caller.
+	Prepare func(r *http.Request) *http.Request
 	// OnForeign, if set, is called with the address of a sender that is no node.
 	OnForeign func(remote string)
 
@@ -88,6 +91,9 @@
 	}
 	r.Header.Del(headerTo)
 	r.Header.Del(headerCaller)
+	if rc.Prepare != nil {
+		r = rc.Prepare(r)
+	}
 	if !rc.Handler.ServeRelayed(w, r) {
 		refuse(w)
 	}
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -70,7 +70,9 @@
 func NewSender(cfg Settings) *Sender {
 	s := &Sender{pools: map[vm.ID]*wire.Pool{}}
 	settings := cfg.Callers.Settings
+	callers := settings.Protocol
 	settings.Protocol = protocol(cfg.Callers.DeadlineHeader())
+	settings.Protocol.KeyHeader, settings.Protocol.TenantHeader = callers.KeyHeader, callers.TenantHeader
 	s.protocol = settings.Protocol
 	s.service = &dispatch.Service{
 		Table:       target.NewTable(service.Service{Name: nodesService, Slots: slotsPerNode}, target.Settings{Zone: cfg.Zone, ListIsAuthoritative: true, Checks: cfg.Dispatcher.Checks}),
--- a/wire/protocol.go
+++ b/wire/protocol.go
@@ -12,7 +12,7 @@
 
 // Protocol names the headers and the path used between targets and the load
 // balancer. An empty Protocol means DefaultProtocol. LoadHeader, ColdHeader,
-// ExpectHeader, IDHeader, LeavingHeader, LimitHeader and ProofHeader are optional;
+// ExpectHeader, IDHeader, KeyHeader, TenantHeader, LeavingHeader, LimitHeader and ProofHeader are optional;
 // empty disables the feature.
 type Protocol struct {
 	// InstanceHeader identifies the target's process on each response.
@@ -44,6 +44,9 @@
 	// IDHeader carries the call ID, which targets echo. A response with another
 	// ID, or none, belongs to another call; a refusal may have none.
 	IDHeader string
+	// KeyHeader carries a caller's API key, which no target receives, and TenantHeader the
+	// name of the key's tenant to the target.
+	KeyHeader, TenantHeader string
 	// LeavingHeader is present on each response of a target that is about to stop.
 	LeavingHeader string
 	// LimitHeader carries the number of requests a second, with an optional fraction,
