Keep each tenant's calls within its quota over the whole fleet

One node owns each tenant's token bucket and grants calls to the others by datagrams; a deputy takes over 1.5 s after the owner falls silent.

--- a/gateway/log.go
+++ b/gateway/log.go
@@ -139,6 +139,7 @@
 // recordCallEnd logs the end of a call and adds it to the metrics.
 func (n *Node) recordCallEnd(e entry.CallResult) {
 	fields := append(n.callEndFields(e), zap.String("target", string(e.Target.ID)))
+	n.returnQuota(e)
 	if e.Outcome == outcome.Done {
 		n.recordContact(e.Service)
 	}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -18,6 +18,7 @@
 	"github.com/apricotmount/apricotmount/dispatch"
 	"github.com/apricotmount/apricotmount/entry"
 	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/grants"
 	"github.com/apricotmount/apricotmount/invariant"
 	"github.com/apricotmount/apricotmount/listener"
 	"github.com/apricotmount/apricotmount/member"
@@ -73,6 +74,7 @@
 	quarantine *quarantine.Guard
 	suspects   *suspects.Exchange
 	rollouts   *canary.Exchange
+	grants     *grants.Exchange
 	// pendingLimits holds rate limits of targets that are not known yet.
 	pendingLimits pendingLimits
 	paths         reach.Watch
@@ -157,6 +159,7 @@
 	n.suspects = &suspects.Exchange{Hub: n.hub, Guard: n.quarantine, Logger: n.logger}
 	n.quarantine.Peers = n.suspects
 	n.rollouts = n.newRollouts(d.Statuses)
+	n.grants = n.newGrants()
 	n.initRelay()
 	return n
 }
@@ -193,6 +196,10 @@
 			return err
 		}
 	}
+	if err := n.grants.Listen(n.settings.PeerAddress); err != nil {
+		n.close()
+		return err
+	}
 	// The callers' port is opened first.
 	n.callerServer = n.servers[0]
 	event.NodeStarting.Log(n.logger, zap.String("zone", string(n.settings.Zone)))
@@ -220,6 +227,7 @@
 	n.goroutines.Go(func() { n.runMaintenance(n.ctx) })
 	n.goroutines.Go(func() { n.watchPaths(n.ctx) })
 	n.goroutines.Go(func() { n.rollouts.Run(n.ctx) })
+	n.goroutines.Go(func() { n.grants.Run(n.ctx) })
 }
 
 // maintenanceInterval is the time between two passes of runMaintenance.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -41,6 +41,9 @@
 		n.refuse(w, r, status, reason)
 		return
 	}
+	if !n.acquireQuota(w, r) {
+		return
+	}
 	if limit := plan.Limits.MaxBodyBytes; limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
--- a/gateway/tenant.go
+++ b/gateway/tenant.go
@@ -2,12 +2,16 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/apricotmount/apricotmount/entry"
+	"github.com/apricotmount/apricotmount/grants"
 	"github.com/apricotmount/apricotmount/outcome"
+	"github.com/apricotmount/apricotmount/quota"
 	"github.com/apricotmount/apricotmount/replica"
 	"github.com/apricotmount/apricotmount/tenant"
+	"github.com/apricotmount/apricotmount/vm"
 )
 
 // authenticate returns the request with the tenant of its key, or the status and reason with
@@ -33,6 +37,48 @@
 	}
 }
 
+// newGrants returns the exchange of the tenants' quotas.
+func (n *Node) newGrants() *grants.Exchange {
+	return grants.NewExchange(grants.Settings{
+		Self:  n.self.ID,
+		Nodes: func() []vm.VM { return n.state.fleetNodes(time.Now()) },
+		Limit: func(name tenant.Name) quota.Limit {
+			plan := n.upstreams.active.Load().plan
+			if plan == nil || plan.Tenants == nil {
+				return quota.Limit{}
+			}
+			return plan.Tenants.Named(name).Quota
+		},
+	})
+}
+
+// acquireQuota takes a call from the quota of its tenant, or refuses the call and reports
+// false.
+func (n *Node) acquireQuota(w http.ResponseWriter, r *http.Request) bool {
+	t := tenant.FromContext(r.Context())
+	if t == nil || !t.Quota.IsSet() {
+		return true
+	}
+	ok, isKnown, wait := n.grants.Acquire(r.Context(), t.Name)
+	if ok {
+		return true
+	}
+	w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	if isKnown {
+		n.refuse(w, r, http.StatusTooManyRequests, outcome.OverQuota)
+	} else {
+		n.refuse(w, r, http.StatusServiceUnavailable, outcome.QuotaUnavailable)
+	}
+	return false
+}
+
+// returnQuota gives back the quota of a call that was not run.
+func (n *Node) returnQuota(e entry.CallResult) {
+	if t := tenant.FromContext(e.Request.Context()); e.Outcome == outcome.NotRun && t != nil && t.Quota.IsSet() {
+		n.grants.Return(t.Name)
+	}
+}
+
 // relayedTenant returns a request of another node with the tenant that this node has named.
 func (n *Node) relayedTenant(r *http.Request) *http.Request {
 	plan := n.upstreams.active.Load().plan
--- /dev/null
+++ b/grants/exchange.go
@@ -0,0 +1,278 @@
+package grants
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/apricotmount/apricotmount/peer"
+	"github.com/apricotmount/apricotmount/quota"
+	"github.com/apricotmount/apricotmount/tenant"
+	"github.com/apricotmount/apricotmount/vm"
+)
+
+const (
+	// askTimeout is the time after which a datagram or its response counts as lost.
+	askTimeout = 25 * time.Millisecond
+	// askTries is the number of datagrams to one node for one call.
+	askTries = 2
+	// unreachableWait is the time to return for a call when no owner responds.
+	unreachableWait = 200 * time.Millisecond
+	// pingInterval is the least time between two pings of a deputy to the owner.
+	pingInterval = 100 * time.Millisecond
+)
+
+// Settings holds what an Exchange uses of its node.
+type Settings struct {
+	Self vm.ID
+	// Nodes returns the known nodes of the fleet, this one included. An ID is the address.
+	Nodes func() []vm.VM
+	// Limit returns the limit of a tenant in the configuration in force.
+	Limit func(name tenant.Name) quota.Limit
+}
+
+// Exchange grants the calls of the tenants that this node owns, and asks other nodes for
+// those of the others.
+type Exchange struct {
+	settings Settings
+	owned    buckets
+	deputy   buckets
+	silences silences
+	conn     net.PacketConn
+
+	mu       sync.Mutex
+	accounts map[tenant.Name]*quota.Account
+	waiting  map[uint64]chan message
+	pingedAt map[vm.ID]time.Time
+}
+
+// NewExchange returns an exchange that is not started.
+func NewExchange(s Settings) *Exchange {
+	return &Exchange{settings: s, accounts: map[tenant.Name]*quota.Account{}, waiting: map[uint64]chan message{}, pingedAt: map[vm.ID]time.Time{}}
+}
+
+// Listen opens the port for datagrams.
+func (x *Exchange) Listen(address vm.Address) (err error) {
+	defer func() { err = eris.Wrap(err, "listen for grants") }()
+	x.conn, err = net.ListenPacket("udp", string(address))
+	return err
+}
+
+// Run handles datagrams until ctx ends.
+func (x *Exchange) Run(ctx context.Context) {
+	defer context.AfterFunc(ctx, func() { x.conn.Close() })()
+	buf := make([]byte, maxDatagramBytes)
+	for ctx.Err() == nil {
+		n, from, err := x.conn.ReadFrom(buf)
+		if err != nil {
+			if ctx.Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			continue
+		}
+		if m, ok := decode(buf[:n]); ok {
+			x.handle(m, from)
+		}
+	}
+}
+
+// Acquire takes one call of a tenant's quota. If there is none, wait is the time after which
+// it may return. isKnown is false if no owner responded.
+func (x *Exchange) Acquire(ctx context.Context, name tenant.Name) (ok, isKnown bool, wait time.Duration) {
+	limit := x.settings.Limit(name)
+	if !limit.IsSet() {
+		return true, true, 0
+	}
+	now := time.Now()
+	x.mu.Lock()
+	a := x.account(name)
+	want := a.RecordCall(now)
+	if a.Take(now) {
+		x.mu.Unlock()
+		return true, true, 0
+	}
+	if wait, isDenied := a.IsDenied(now); isDenied {
+		x.mu.Unlock()
+		return false, true, wait
+	}
+	x.mu.Unlock()
+	granted, wait, isKnown := x.ask(ctx, name, want, limit)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now = time.Now()
+	if granted > 0 {
+		a.Add(granted-1, now)
+		return true, true, 0
+	}
+	if isKnown {
+		a.Deny(wait, now)
+	}
+	return false, isKnown, wait
+}
+
+// Return gives back the quota of a call that was not run.
+func (x *Exchange) Return(name tenant.Name) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.account(name).Return(time.Now())
+}
+
+// account returns the account of a tenant. x.mu must be held.
+func (x *Exchange) account(name tenant.Name) *quota.Account {
+	a := x.accounts[name]
+	if a == nil {
+		a = &quota.Account{}
+		x.accounts[name] = a
+	}
+	return a
+}
+
+// ask gets calls from the owner or, if it is silent, from the deputy.
+func (x *Exchange) ask(ctx context.Context, name tenant.Name, want int, l quota.Limit) (granted int, wait time.Duration, isKnown bool) {
+	for i, owner := range x.owners(name) {
+		now := time.Now()
+		isDeputy := i > 0
+		if owner == x.settings.Self {
+			granted, wait = x.grant(name, want, l, isDeputy, now)
+			return granted, wait, true
+		}
+		if !isDeputy && x.silences.duration(owner, now) > 0 && rand.N(4) > 0 {
+			// One call in four finds out whether it is back.
+			continue
+		}
+		if m, ok := x.request(ctx, owner, message{Kind: kindAsk, Tenant: name, Count: want, IsDeputy: isDeputy}); ok {
+			return m.Count, time.Duration(m.WaitMillis) * time.Millisecond, true
+		}
+	}
+	return 0, unreachableWait, false
+}
+
+// ownerCount is the number of nodes that may grant a tenant's calls: the owner and its deputy.
+const ownerCount = 2
+
+// owners returns the owner of a tenant and its deputy, by rendezvous hashing.
+func (x *Exchange) owners(name tenant.Name) []vm.ID {
+	type ranked struct {
+		id   vm.ID
+		rank uint64
+	}
+	var best [ownerCount]ranked
+	for _, n := range x.settings.Nodes() {
+		r := ranked{n.ID, xxhash.Sum64String(string(n.ID) + "/" + string(name))}
+		switch {
+		case r.rank > best[0].rank:
+			best[0], best[1] = r, best[0]
+		case r.rank > best[1].rank:
+			best[1] = r
+		}
+	}
+	ids := []vm.ID{best[0].id, best[1].id}
+	return slices.DeleteFunc(ids, func(id vm.ID) bool { return id == "" })
+}
+
+// grant grants calls of a tenant. As a deputy it first finds out whether the owner is silent.
+func (x *Exchange) grant(name tenant.Name, n int, l quota.Limit, isDeputy bool, now time.Time) (granted int, wait time.Duration) {
+	if !isDeputy {
+		return x.owned.take(name, n, l, now)
+	}
+	owners := x.owners(name)
+	if owners[0] == x.settings.Self {
+		return x.owned.take(name, n, l, now)
+	}
+	x.ping(owners[0], now)
+	return x.deputy.take(name, n, deputyLimit(l, x.silences.duration(owners[0], now)), now)
+}
+
+// ping checks whether a node responds, at most once each pingInterval.
+func (x *Exchange) ping(id vm.ID, now time.Time) {
+	x.mu.Lock()
+	isDue := now.Sub(x.pingedAt[id]) >= pingInterval
+	if isDue {
+		x.pingedAt[id] = now
+	}
+	x.mu.Unlock()
+	if isDue {
+		go x.request(context.Background(), id, message{Kind: kindPing})
+	}
+}
+
+// request sends a datagram to a node, again if there is no response, and returns the response.
+func (x *Exchange) request(ctx context.Context, to vm.ID, m message) (response message, ok bool) {
+	address, err := netip.ParseAddrPort(string(to))
+	if err != nil {
+		return message{}, false
+	}
+	m.Nonce = rand.Uint64()
+	responses := make(chan message, 1)
+	x.mu.Lock()
+	x.waiting[m.Nonce] = responses
+	x.mu.Unlock()
+	defer func() {
+		x.mu.Lock()
+		delete(x.waiting, m.Nonce)
+		x.mu.Unlock()
+	}()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	<-timer.C
+	for range askTries {
+		// A datagram that cannot be sent is as good as lost.
+		_, _ = x.conn.WriteTo(m.encode(), net.UDPAddrFromAddrPort(address))
+		timer.Reset(askTimeout)
+		select {
+		case response := <-responses:
+			x.silences.record(to, true, time.Now())
+			return response, true
+		case <-ctx.Done():
+			return message{}, false
+		case <-timer.C:
+			x.silences.record(to, false, time.Now())
+		}
+	}
+	return message{}, false
+}
+
+// handle handles a datagram.
+func (x *Exchange) handle(m message, from net.Addr) {
+	if m.Kind == kindGrant || m.Kind == kindPong {
+		x.mu.Lock()
+		responses := x.waiting[m.Nonce]
+		delete(x.waiting, m.Nonce)
+		x.mu.Unlock()
+		if responses != nil {
+			responses <- m
+		}
+		return
+	}
+	if !x.isMember(from) {
+		return
+	}
+	response := message{Kind: kindPong, Nonce: m.Nonce}
+	switch m.Kind {
+	case kindPing:
+	case kindAsk:
+		l := x.settings.Limit(m.Tenant)
+		if !l.IsSet() || m.Count <= 0 {
+			return
+		}
+		granted, wait := x.grant(m.Tenant, m.Count, l, m.IsDeputy, time.Now())
+		response = message{Kind: kindGrant, Nonce: m.Nonce, Count: granted, WaitMillis: peer.Milliseconds(wait)}
+	default:
+		return
+	}
+	_, _ = x.conn.WriteTo(response.encode(), from)
+}
+
+// isMember reports whether a datagram comes from a node of the fleet.
+func (x *Exchange) isMember(from net.Addr) bool {
+	text := from.String()
+	return slices.ContainsFunc(x.settings.Nodes(), func(v vm.VM) bool { return cmp.Compare(string(v.Address), text) == 0 })
+}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -47,8 +47,10 @@
 	NoPlan            Reason = "no-plan"     // no operator configuration has been received
 	BodyTooLong       Reason = "body-too-long"
 	HeadersTooLong    Reason = "headers-too-long"
-	UnknownKey        Reason = "unknown-key"    // no tenant holds the call's API key
-	KeyUnverified     Reason = "key-unverified" // the node's configuration may be too old to know the API key
+	OverQuota         Reason = "over-quota"        // the tenant has used up its quota
+	QuotaUnavailable  Reason = "quota-unavailable" // no node that grants the tenant's calls responds
+	UnknownKey        Reason = "unknown-key"       // no tenant holds the call's API key
+	KeyUnverified     Reason = "key-unverified"    // the node's configuration may be too old to know the API key
 )
 
 // Reasons for the outcome Unknown.
@@ -65,7 +67,7 @@
 	NoService, BadDeadline, DeadlinePassed, DeadlineTooClose, TooDeep, QueueFull, QueueTimeout,
 	DisplacedByUrgent, NodeFull, NoTarget, OnlyColdTargets, TargetsRefused, TargetsLimited, Quarantined, ConnectFailed, PathLost, NodeStopping, KeyMissing,
 	KeyInvalid, KeyReused, KeyTooOld, ClaimUnavailable, ClaimsBehind, ClaimLapsed, CallerGone,
-	UpgradeRefused, BodyBroken, NoPlan, BodyTooLong, HeadersTooLong, UnknownKey, KeyUnverified,
+	UpgradeRefused, BodyBroken, NoPlan, BodyTooLong, HeadersTooLong, OverQuota, QuotaUnavailable, UnknownKey, KeyUnverified,
 }
 
 // UnknownReasons lists all reasons for the outcome Unknown.
@@ -90,7 +92,7 @@
 // reasons of Unknown and for those that a retry of the same call does not remove.
 func AdviceFor(r Reason) Advice {
 	switch r {
-	case QueueFull, QueueTimeout, DeadlineTooClose, DisplacedByUrgent, NodeFull, TargetsRefused, TargetsLimited, ConnectFailed, PathLost, NodeStopping, OnlyColdTargets, KeyUnverified:
+	case QueueFull, QueueTimeout, DeadlineTooClose, DisplacedByUrgent, NodeFull, TargetsRefused, TargetsLimited, ConnectFailed, PathLost, NodeStopping, OnlyColdTargets, KeyUnverified, OverQuota, QuotaUnavailable:
 		return Advice{CanRetry: true, RetryAfter: shortRetryAfter}
 	case NoTarget, Quarantined, ClaimUnavailable, ClaimsBehind, ClaimLapsed:
 		return Advice{CanRetry: true, RetryAfter: longRetryAfter}
--- a/tenant/directory.go
+++ b/tenant/directory.go
@@ -9,6 +9,7 @@
 
 	"github.com/apricotmount/apricotmount/fault"
 	"github.com/apricotmount/apricotmount/profile"
+	"github.com/apricotmount/apricotmount/quota"
 )
 
 // Name is the name of a tenant.
@@ -20,6 +21,8 @@
 	// Urgency replaces that of the calls' profiles if HasUrgency is set.
 	Urgency    profile.Urgency
 	HasUrgency bool
+	// Quota bounds the tenant's calls over the whole fleet.
+	Quota quota.Limit
 }
 
 // Config is a tenant with its keys as an operator configures it.
