--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -59,6 +59,7 @@
 		}
 		isBack := !former.leftAt.IsZero()
 		hasNew = hasNew || !known || isBack && !former.isBack
+		n.State = vm.StateLive
 		s.nodes[n.ID] = listedNode{node: n, listedAt: now, leftAt: former.leftAt, isBack: isBack}
 	}
 	return hasNew
@@ -73,6 +74,9 @@
 			s.revision++
 			continue
 		}
+		if !n.leftAt.IsZero() && !n.isBack {
+			n.node.State = vm.StateLeaving
+		}
 		nodes = append(nodes, n.node)
 	}
 	return nodes
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -1,15 +1,12 @@
 package gateway
 
 import (
-	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/target"
-	"github.com/apricotmount/apricotmount/vm"
 )
 
 // receiveLimits applies rate limits that targets have named to a peer. They are not
@@ -28,7 +25,7 @@
 			limit.Limit = target.RateLimit{Status: target.LimitNamed, PerSecond: l.PerSecond}
 		}
 		if !n.upstreams.recordPeerLimit(l.Service, limit) {
-			n.pendingLimits.add(l.Service, limit)
+			n.pendingLimits.Add(l.Service, limit)
 		}
 	}
 }
@@ -39,48 +36,14 @@
 	return s != nil && s.dispatch.Table.RecordPeerLimit(l)
 }
 
-// pendingLimit is a rate limit of a target that is not known yet.
-type pendingLimit struct {
-	service service.Name
-	limit   target.PeerLimit
-}
-
-// pendingLimits holds the rate limits of targets that are not known yet. Its zero value is
-// empty and ready to use.
-type pendingLimits struct {
-	mu       sync.Mutex
-	byTarget map[vm.ID]pendingLimit
-}
-
-// maxPendingLimits bounds the limits that wait for their targets.
-const maxPendingLimits = 4096
-
-func (p *pendingLimits) add(name service.Name, l target.PeerLimit) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.byTarget == nil || len(p.byTarget) >= maxPendingLimits {
-		p.byTarget = map[vm.ID]pendingLimit{}
-	}
-	p.byTarget[l.ID] = pendingLimit{name, l}
-}
-
-// take returns all limits and removes them.
-func (p *pendingLimits) take() (limits []pendingLimit) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	limits = slices.Collect(maps.Values(p.byTarget))
-	clear(p.byTarget)
-	return limits
-}
-
 // pendingLimitRetention is how long a limit waits for its target.
 const pendingLimitRetention = 10 * time.Second
 
 // applyPendingLimits records the limits of targets that are known by now.
 func (n *Node) applyPendingLimits(now time.Time) {
-	for _, p := range n.pendingLimits.take() {
-		if !n.upstreams.recordPeerLimit(p.service, p.limit) && now.Sub(p.limit.ToldAt) < pendingLimitRetention {
-			n.pendingLimits.add(p.service, p.limit)
+	for _, p := range n.pendingLimits.Take() {
+		if !n.upstreams.recordPeerLimit(p.Service, p.Limit) && now.Sub(p.Limit.ToldAt) < pendingLimitRetention {
+			n.pendingLimits.Add(p.Service, p.Limit)
 		}
 	}
 }
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -76,7 +76,7 @@
 	rollouts   *canary.Exchange
 	grants     *grants.Exchange
 	// pendingLimits holds rate limits of targets that are not known yet.
-	pendingLimits pendingLimits
+	pendingLimits target.PendingLimits
 	paths         reach.Watch
 	sender        *relay.Sender
 	receiver      *relay.Receiver
--- a/gateway/plan.go
+++ b/gateway/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -96,44 +95,6 @@
 	Born int64
 }
 
-// weightedRoundRobin divides a route's calls among its services by smooth weighted
-// round-robin: after any number of calls each service is within one call of its share.
-type weightedRoundRobin struct {
-	credits []float64
-}
-
-// maxStartPicks bounds the number of picks that startRoundRobin skips. The sum of many
-// nodes' shares is as exact as one part in this number.
-const maxStartPicks = 256
-
-// startRoundRobin returns a round-robin that has already made a random number of picks.
-// Each service is then the next one with the probability of its share: a fleet in which
-// each node has had only a few calls since the plan changed divides them by weight too.
-func startRoundRobin(services []WeightedService) *weightedRoundRobin {
-	w := &weightedRoundRobin{}
-	for range rand.N(maxStartPicks) {
-		w.next(services)
-	}
-	return w
-}
-
-// next returns the index of the service that gets the next call.
-func (w *weightedRoundRobin) next(services []WeightedService) int {
-	if len(w.credits) != len(services) {
-		w.credits = make([]float64, len(services))
-	}
-	total, best := 0.0, 0
-	for i, s := range services {
-		total += s.Weight
-		w.credits[i] += s.Weight
-		if w.credits[i] > w.credits[best] {
-			best = i
-		}
-	}
-	w.credits[best] -= total
-	return best
-}
-
 // withdrawnZones is the set of zones that operators have taken out of service.
 type withdrawnZones map[zone.Name]bool
 
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -44,17 +44,9 @@
 	}
 	o.ID = rollout.OrderID{Offset: uint64(r.Offset), ValueHash: xxhash.Sum64(r.Value)}
 	if snap.orders == nil {
-		snap.orders = map[service.Name]rollout.Order{}
+		snap.orders = map[service.Name]*rollout.Order{}
 	}
-	snap.orders[o.Service] = o
-}
-
-// order returns the order of a service, or nil.
-func (s *snapshot) order(name service.Name) *rollout.Order {
-	if o, ok := s.orders[name]; ok {
-		return &o
-	}
-	return nil
+	snap.orders[o.Service] = &o
 }
 
 // longestTimeout returns the longest timeout of the calls to a service.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -217,7 +217,7 @@
 	withdrawn withdrawnZones
 	// orders holds the order of each service that is to get another version, and
 	// operatorReadAt is when the operator topic was last read.
-	orders         map[service.Name]rollout.Order
+	orders         map[service.Name]*rollout.Order
 	operatorReadAt time.Time
 	// nextChangeAt is when the next retained target is dropped; zero if there is none.
 	nextChangeAt time.Time
--- a/gateway/state_test.go
+++ b/gateway/state_test.go
@@ -173,55 +173,6 @@
 	}
 }
 
-// After any number of calls each service has received its share to within one call.
-func TestWeightedRoundRobinKeepsShares(t *testing.T) {
-	services := []WeightedService{{"a", 70}, {"b", 20}, {"c", 10}}
-	var rr weightedRoundRobin
-	got := map[service.Name]int{}
-	for n := 1; n <= 1000; n++ {
-		got[services[rr.next(services)].Service]++
-		for _, p := range services {
-			want := float64(n) * p.Weight / 100
-			if diff := float64(got[p.Service]) - want; diff < -1 || diff > 1 {
-				t.Fatalf("after %d calls: service %s got %d, want %.1f within one call", n, p.Service, got[p.Service], want)
-			}
-		}
-	}
-}
-
-// In a large fleet each node has had only a few calls after a plan changed the weights.
-// Their sum must have the shares of the weights nevertheless.
-func TestFleetKeepsSharesWithFewCallsPerNode(t *testing.T) {
-	const (
-		nodeCount = 103
-		maxOff    = 0.1
-	)
-	for _, weights := range [][]float64{{0.9, 0.1}, {0.7, 0.3}, {1, 1}, {5, 3, 2}} {
-		var services []WeightedService
-		total := 0.0
-		for _, w := range weights {
-			services = append(services, WeightedService{Weight: w})
-			total += w
-		}
-		for calls := 1; calls <= 4; calls++ {
-			counts := make([]int, len(services))
-			const fleets = 20
-			for range fleets * nodeCount {
-				rr := startRoundRobin(services)
-				for range calls {
-					counts[rr.next(services)]++
-				}
-			}
-			for i, w := range weights {
-				got, want := float64(counts[i])/float64(fleets*nodeCount*calls), w/total
-				if got < want-maxOff/2 || got > want+maxOff/2 {
-					t.Errorf("weights %v, %d calls a node: got share %.3f of service %d, want %.3f", weights, calls, got, i, want)
-				}
-			}
-		}
-	}
-}
-
 // The limit applies to the whole fleet: the sum of all nodes' shares must not exceed it,
 // and each share must allow at least one extra attempt.
 func TestExtraAttemptSharesStayWithinFleetLimit(t *testing.T) {
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -18,6 +18,7 @@
 	"github.com/apricotmount/apricotmount/reach"
 	"github.com/apricotmount/apricotmount/retry"
 	"github.com/apricotmount/apricotmount/rollout"
+	"github.com/apricotmount/apricotmount/routing"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/vm"
@@ -61,7 +62,7 @@
 	mu        sync.Mutex
 	connPools map[vm.ID]*wire.Pool
 	// roundRobins maps host and path prefix of a route to its round-robin state.
-	roundRobins map[string]*weightedRoundRobin
+	roundRobins map[string]*routing.WeightedRoundRobin
 	// openQueries maps a target to a channel that is closed when its open load query ends.
 	openQueries map[vm.ID]chan struct{}
 }
@@ -90,7 +91,7 @@
 }
 
 func newUpstreams(n *Node) *upstreams {
-	u := &upstreams{node: n, admission: admission.NewPool(0), quota: &quota.Limiter{SpareSenders: spareSenders, MaxLateness: maxTurnLateness}, connPools: map[vm.ID]*wire.Pool{}, roundRobins: map[string]*weightedRoundRobin{}, openQueries: map[vm.ID]chan struct{}{}}
+	u := &upstreams{node: n, admission: admission.NewPool(0), quota: &quota.Limiter{SpareSenders: spareSenders, MaxLateness: maxTurnLateness}, connPools: map[vm.ID]*wire.Pool{}, roundRobins: map[string]*routing.WeightedRoundRobin{}, openQueries: map[vm.ID]chan struct{}{}}
 	u.active.Store(&activeConfig{})
 	return u
 }
@@ -121,13 +122,13 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	key := host + route.PathPrefix
+	key, weight := host+route.PathPrefix, func(i int) float64 { return route.Services[i].Weight }
 	rr := u.roundRobins[key]
 	if rr == nil {
-		rr = startRoundRobin(route.Services)
+		rr = routing.StartRoundRobin(len(route.Services), weight)
 		u.roundRobins[key] = rr
 	}
-	return route.Services[rr.next(route.Services)].Service
+	return route.Services[rr.Next(len(route.Services), weight)].Service
 }
 
 // apply makes a snapshot active; without a plan it does nothing. The limits of the fleet
@@ -144,7 +145,7 @@
 	if old.plan != snap.plan {
 		cfg = u.buildConfig(old, snap.plan)
 		cfg.since = now
-		u.roundRobins = map[string]*weightedRoundRobin{}
+		u.roundRobins = map[string]*routing.WeightedRoundRobin{}
 	}
 	byService := map[service.Name][]vm.VM{}
 	for _, t := range snap.targets {
@@ -163,7 +164,7 @@
 		s.coldStartLimiter.Configure(s.service.ColdCallsPerSecond, u.node.self.ID, ids, fleetSize)
 		s.dispatch.Table.SetService(s.service.Service)
 		s.dispatch.Table.SetList(now, byService[name], snap.withdrawn.contains)
-		lanes, recheck := u.node.rollouts.Apply(name, snap.order(name), byService[name], rollout.Fleet{CallTimeout: snap.plan.longestTimeout(name), NodeCount: fleetSize}, now, snap.operatorReadAt)
+		lanes, recheck := u.node.rollouts.Apply(name, snap.orders[name], byService[name], rollout.Fleet{CallTimeout: snap.plan.longestTimeout(name), NodeCount: fleetSize}, now, snap.operatorReadAt)
 		s.dispatch.Table.SetLanes(lanes)
 		needsRecheck = needsRecheck || recheck
 		s.dispatch.Table.SetSubsetSize(u.subsetSize(byService[name], nodes))
--- a/grants/doc.go
+++ b/grants/doc.go
@@ -6,6 +6,7 @@
 // that reaches no owner admits nothing, so the sum does not depend on who is cut off.
 //
 // In any window w, the calls sent are at most PerSecond × (w + GrantLifetime + the longest
-// wait in a node) + Burst, and a deputy's share: deputyShare of it while the owner may be
-// alive. A deputy takes over whole after takeoverDelay of the owner's silence.
+// wait in a node) + Burst, and deputyShare of it for each of two deputies, as long as the
+// nodes before them may be alive. A deputy grants the whole quota after takeoverDelay of
+// their silence.
 package grants
--- a/grants/exchange.go
+++ b/grants/exchange.go
@@ -135,30 +135,33 @@
 	return a
 }
 
-// ask gets calls from the owner or, if it is silent, from the deputy.
+// ask gets calls from the owner or, if it is silent, from a deputy.
 func (x *Exchange) ask(ctx context.Context, name tenant.Name, want int, l quota.Limit) (granted int, wait time.Duration, isKnown bool) {
 	for i, owner := range x.owners(name) {
 		now := time.Now()
-		isDeputy := i > 0
 		if owner == x.settings.Self {
-			granted, wait = x.grant(name, want, l, isDeputy, now)
-			return granted, wait, true
+			return x.grant(name, want, l, now)
 		}
-		if !isDeputy && x.silences.duration(owner, now) > 0 && rand.N(4) > 0 {
-			// One call in four finds out whether it is back.
+		if i < ownerCount-1 && x.silences.duration(owner, now) > 0 && rand.N(recheckShare) > 0 {
 			continue
 		}
-		if m, ok := x.request(ctx, owner, message{Kind: kindAsk, Tenant: name, Count: want, IsDeputy: isDeputy}); ok {
+		if m, ok := x.request(ctx, owner, message{Kind: kindAsk, Tenant: name, Count: want}); ok && m.Kind == kindGrant {
 			return m.Count, time.Duration(m.WaitMillis) * time.Millisecond, true
 		}
 	}
 	return 0, unreachableWait, false
 }
 
-// ownerCount is the number of nodes that may grant a tenant's calls: the owner and its deputy.
-const ownerCount = 2
+const (
+	// ownerCount is the number of nodes that may grant a tenant's calls: the owner and two
+	// deputies.
+	ownerCount = 3
+	// recheckShare is one in how many calls asks a silent node whether it is back.
+	recheckShare = 4
+)
 
-// owners returns the owner of a tenant and its deputy, by rendezvous hashing.
+// owners returns the owner of a tenant and its deputies, by rendezvous hashing over the nodes
+// that have not begun a planned stop.
 func (x *Exchange) owners(name tenant.Name) []vm.ID {
 	type ranked struct {
 		id   vm.ID
@@ -166,29 +169,44 @@
 	}
 	var best [ownerCount]ranked
 	for _, n := range x.settings.Nodes() {
+		if n.State == vm.StateLeaving {
+			continue
+		}
 		r := ranked{n.ID, xxhash.Sum64String(string(n.ID) + "/" + string(name))}
-		switch {
-		case r.rank > best[0].rank:
-			best[0], best[1] = r, best[0]
-		case r.rank > best[1].rank:
-			best[1] = r
+		for i := range best {
+			if r.rank > best[i].rank {
+				best[i], r = r, best[i]
+			}
 		}
 	}
-	ids := []vm.ID{best[0].id, best[1].id}
-	return slices.DeleteFunc(ids, func(id vm.ID) bool { return id == "" })
+	var ids []vm.ID
+	for _, r := range best {
+		if r.id != "" {
+			ids = append(ids, r.id)
+		}
+	}
+	return ids
 }
 
-// grant grants calls of a tenant. As a deputy it first finds out whether the owner is silent.
-func (x *Exchange) grant(name tenant.Name, n int, l quota.Limit, isDeputy bool, now time.Time) (granted int, wait time.Duration) {
-	if !isDeputy {
-		return x.owned.take(name, n, l, now)
-	}
+// grant grants calls of a tenant. As a deputy it first finds out whether the nodes that come
+// before it are silent. isOwner is false if this node is none of the owners by its own view.
+func (x *Exchange) grant(name tenant.Name, n int, l quota.Limit, now time.Time) (granted int, wait time.Duration, isOwner bool) {
 	owners := x.owners(name)
-	if owners[0] == x.settings.Self {
-		return x.owned.take(name, n, l, now)
+	rank := slices.Index(owners, x.settings.Self)
+	if rank < 0 {
+		return 0, 0, false
+	}
+	if rank == 0 {
+		granted, wait = x.owned.take(name, n, l, now)
+		return granted, wait, true
 	}
-	x.ping(owners[0], now)
-	return x.deputy.take(name, n, deputyLimit(l, x.silences.duration(owners[0], now)), now)
+	silentFor := takeoverDelay
+	for _, before := range owners[:rank] {
+		x.ping(before, now)
+		silentFor = min(silentFor, x.silences.duration(before, now))
+	}
+	granted, wait = x.deputy.take(name, n, deputyLimit(l, silentFor), now)
+	return granted, wait, true
 }
 
 // ping checks whether a node responds, at most once each pingInterval.
@@ -263,8 +281,9 @@
 		if !l.IsSet() || m.Count <= 0 {
 			return
 		}
-		granted, wait := x.grant(m.Tenant, m.Count, l, m.IsDeputy, time.Now())
-		response = message{Kind: kindGrant, Nonce: m.Nonce, Count: granted, WaitMillis: peer.Milliseconds(wait)}
+		if granted, wait, isOwner := x.grant(m.Tenant, m.Count, l, time.Now()); isOwner {
+			response = message{Kind: kindGrant, Nonce: m.Nonce, Count: granted, WaitMillis: peer.Milliseconds(wait)}
+		}
 	default:
 		return
 	}
--- a/grants/exchange_test.go
+++ b/grants/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -166,12 +167,12 @@
 	f := newTestFleet(t, 5, quota.Limit{PerSecond: 100, Burst: 100})
 	owners := f.exchanges[0].owners("a")
 	for i, n := range f.nodes {
-		if n.ID == owners[0] || n.ID == owners[1] {
+		if slices.Contains(owners, n.ID) {
 			f.cancels[i]()
 		}
 	}
 	for i, n := range f.nodes {
-		if n.ID == owners[0] || n.ID == owners[1] {
+		if slices.Contains(owners, n.ID) {
 			continue
 		}
 		if ok, isKnown, wait := f.exchanges[i].Acquire(t.Context(), "a"); ok || isKnown || wait <= 0 {
--- a/grants/message.go
+++ b/grants/message.go
@@ -24,8 +24,6 @@
 	Count  int         `cbor:"4,keyasint,omitempty"`
 	// WaitMillis is the time after which a refused call may return.
 	WaitMillis uint32 `cbor:"5,keyasint,omitempty"`
-	// IsDeputy asks the second node because the first is silent.
-	IsDeputy bool `cbor:"6,keyasint,omitempty"`
 }
 
 // maxDatagramBytes is the maximum length of a datagram.
--- a/grants/owner.go
+++ b/grants/owner.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// deputyShare is the part of a quota that a deputy grants while the owner may be alive:
-	// within the overage of a quota.
-	deputyShare = 0.06
+	// deputyShare is the part of a quota that each deputy grants while a node before it may
+	// be alive. Both together stay within the overage of a quota.
+	deputyShare = 0.04
 	// takeoverDelay is the time of an owner's silence after which a deputy grants the whole
 	// quota.
 	takeoverDelay = 1500 * time.Millisecond
@@ -89,7 +89,8 @@
 	return now.Sub(n.since)
 }
 
-// deputyLimit returns what a deputy may grant of a limit after the owner's silence.
+// deputyLimit returns what a deputy may grant of a limit if all nodes before it have been
+// silent for a time.
 func deputyLimit(l quota.Limit, silentFor time.Duration) quota.Limit {
 	if silentFor >= takeoverDelay {
 		return l
