--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -54,7 +54,7 @@
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, status int, reason outcome.Reason) {
 	n.callMetrics.CountNotRun(reason)
 	event.CallNotRun.Log(n.logger, zap.String("id", r.Header.Get(n.requestIDHeader)), zap.String("reason", string(reason)),
-		zap.Int64("version", n.planVersion()), zap.Int("status", status))
+		zap.Int64("version", n.planVersion()), zap.Int("status", status), tenantField(r))
 	w.WriteHeader(status)
 }
 
--- a/grants/exchange.go
+++ b/grants/exchange.go
@@ -20,6 +20,8 @@
 )
 
 const (
+	// maxUnused bounds the calls that a node gives back at once.
+	maxUnused = 256
 	// askTimeout is the time after which a datagram or its response counts as lost.
 	askTimeout = 25 * time.Millisecond
 	// askTries is the number of datagrams to one node for one call.
@@ -103,8 +105,9 @@
 		x.mu.Unlock()
 		return false, true, wait
 	}
+	unused := a.TakeUnused(now)
 	x.mu.Unlock()
-	granted, wait, isKnown := x.ask(ctx, name, want, limit)
+	granted, wait, isKnown := x.ask(ctx, name, want, unused, limit)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now = time.Now()
@@ -136,16 +139,16 @@
 }
 
 // ask gets calls from the owner or, if it is silent, from a deputy.
-func (x *Exchange) ask(ctx context.Context, name tenant.Name, want int, l quota.Limit) (granted int, wait time.Duration, isKnown bool) {
+func (x *Exchange) ask(ctx context.Context, name tenant.Name, want, unused int, l quota.Limit) (granted int, wait time.Duration, isKnown bool) {
 	for i, owner := range x.owners(name) {
 		now := time.Now()
 		if owner == x.settings.Self {
-			return x.grant(name, want, l, now)
+			return x.grant(name, want, unused, l, now)
 		}
 		if i < ownerCount-1 && x.silences.duration(owner, now) > 0 && rand.N(recheckShare) > 0 {
 			continue
 		}
-		if m, ok := x.request(ctx, owner, message{Kind: kindAsk, Tenant: name, Count: want}); ok && m.Kind == kindGrant {
+		if m, ok := x.request(ctx, owner, message{Kind: kindAsk, Tenant: name, Count: want, Unused: unused}); ok && m.Kind == kindGrant {
 			return m.Count, time.Duration(m.WaitMillis) * time.Millisecond, true
 		}
 	}
@@ -190,14 +193,14 @@
 
 // grant grants calls of a tenant. As a deputy it first finds out whether the nodes that come
 // before it are silent. isOwner is false if this node is none of the owners by its own view.
-func (x *Exchange) grant(name tenant.Name, n int, l quota.Limit, now time.Time) (granted int, wait time.Duration, isOwner bool) {
+func (x *Exchange) grant(name tenant.Name, n, unused int, l quota.Limit, now time.Time) (granted int, wait time.Duration, isOwner bool) {
 	owners := x.owners(name)
 	rank := slices.Index(owners, x.settings.Self)
 	if rank < 0 {
 		return 0, 0, false
 	}
 	if rank == 0 {
-		granted, wait = x.owned.take(name, n, l, now)
+		granted, wait = x.owned.take(name, n, unused, l, now)
 		return granted, wait, true
 	}
 	silentFor := takeoverDelay
@@ -205,7 +208,7 @@
 		x.ping(before, now)
 		silentFor = min(silentFor, x.silences.duration(before, now))
 	}
-	granted, wait = x.deputy.take(name, n, deputyLimit(l, silentFor), now)
+	granted, wait = x.deputy.take(name, n, 0, deputyLimit(l, silentFor), now)
 	return granted, wait, true
 }
 
@@ -278,10 +281,10 @@
 	case kindPing:
 	case kindAsk:
 		l := x.settings.Limit(m.Tenant)
-		if !l.IsSet() || m.Count <= 0 {
+		if !l.IsSet() || m.Count <= 0 || m.Unused < 0 || m.Unused > maxUnused {
 			return
 		}
-		if granted, wait, isOwner := x.grant(m.Tenant, m.Count, l, time.Now()); isOwner {
+		if granted, wait, isOwner := x.grant(m.Tenant, m.Count, m.Unused, l, time.Now()); isOwner {
 			response = message{Kind: kindGrant, Nonce: m.Nonce, Count: granted, WaitMillis: peer.Milliseconds(wait)}
 		}
 	default:
--- a/grants/message.go
+++ b/grants/message.go
@@ -22,6 +22,8 @@
 	// Tenant and Count are the calls that are asked for or granted.
 	Tenant tenant.Name `cbor:"3,keyasint,omitempty"`
 	Count  int         `cbor:"4,keyasint,omitempty"`
+	// Unused is the number of granted calls that are given back.
+	Unused int `cbor:"6,keyasint,omitempty"`
 	// WaitMillis is the time after which a refused call may return.
 	WaitMillis uint32 `cbor:"5,keyasint,omitempty"`
 }
--- a/grants/owner.go
+++ b/grants/owner.go
@@ -26,8 +26,9 @@
 	byTenant map[tenant.Name]*quota.Bucket
 }
 
-// take takes up to n calls of a tenant, or says when to return.
-func (b *buckets) take(name tenant.Name, n int, l quota.Limit, now time.Time) (taken int, wait time.Duration) {
+// take takes up to n calls of a tenant, or returns after which time to ask again. The unused
+// calls of earlier grants are available again.
+func (b *buckets) take(name tenant.Name, n, unused int, l quota.Limit, now time.Time) (taken int, wait time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.byTenant == nil {
@@ -38,6 +39,7 @@
 		bucket = &quota.Bucket{}
 		b.byTenant[name] = bucket
 	}
+	bucket.Return(unused, l)
 	return bucket.Take(n, l, now)
 }
 
--- a/quota/account.go
+++ b/quota/account.go
@@ -11,6 +11,9 @@
 	GrantLifetime = 250 * time.Millisecond
 	// maxGrant is the number of calls that a node asks for at once.
 	maxGrant = 64
+	// cautiousDivisor divides the expected calls: what is not used in time is missing
+	// elsewhere until it is given back.
+	cautiousDivisor = 4
 	// demandWeight is the weight of one interval between calls in the average.
 	demandWeight = 0.2
 	// maxDenial is the longest time for which an account refuses calls by itself after a
@@ -41,7 +44,7 @@
 }
 
 // RecordCall records that a call has arrived, and returns how many calls to ask for if none
-// is granted: as many as arrive within GrantLifetime.
+// is granted: a part of those that arrive within GrantLifetime.
 func (a *Account) RecordCall(now time.Time) (want int) {
 	if !a.lastCallAt.IsZero() {
 		a.interval += demandWeight * (now.Sub(a.lastCallAt).Seconds() - a.interval)
@@ -49,8 +52,18 @@
 		a.interval = GrantLifetime.Seconds()
 	}
 	a.lastCallAt = now
-	expected := GrantLifetime.Seconds() / max(a.interval, 1e-6) / 2
-	return int(min(max(1, math.Floor(expected)), maxGrant))
+	expected := GrantLifetime.Seconds() / max(a.interval, 1e-6)
+	return int(min(max(1, math.Floor(expected/cautiousDivisor)), maxGrant))
+}
+
+// TakeUnused returns the number of granted calls that were not used in time, once, for the
+// owner to grant them again.
+func (a *Account) TakeUnused(now time.Time) (n int) {
+	if a.granted <= 0 || now.Before(a.expiresAt) {
+		return 0
+	}
+	n, a.granted = a.granted, 0
+	return n
 }
 
 // Add adds granted calls.
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -59,3 +59,8 @@
 	b.tokens = min(b.tokens+added, capacity)
 	b.promised = math.Max(0, b.promised-added)
 }
+
+// Return adds tokens that were taken and not used.
+func (b *Bucket) Return(n int, l Limit) {
+	b.tokens = min(b.tokens+float64(max(n, 0)), max(1, l.Burst))
+}
