--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/outcome"
+	"github.com/apricotmount/apricotmount/tenant"
 )
 
 const (
@@ -54,7 +55,7 @@
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, status int, reason outcome.Reason) {
 	n.callMetrics.CountNotRun(reason)
 	event.CallNotRun.Log(n.logger, zap.String("id", r.Header.Get(n.requestIDHeader)), zap.String("reason", string(reason)),
-		zap.Int64("version", n.planVersion()), zap.Int("status", status), tenantField(r))
+		zap.Int64("version", n.planVersion()), zap.Int("status", status), tenant.LogField(r.Context()))
 	w.WriteHeader(status)
 }
 
--- a/gateway/tenant.go
+++ b/gateway/tenant.go
@@ -5,8 +5,6 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/apricotmount/apricotmount/entry"
 	"github.com/apricotmount/apricotmount/grants"
 	"github.com/apricotmount/apricotmount/outcome"
@@ -39,15 +37,6 @@
 	}
 }
 
-// tenantField returns a log field with the tenant of a call, if it has one.
-func tenantField(r *http.Request) zap.Field {
-	t := tenant.FromContext(r.Context())
-	if t == nil || t.Name == "" {
-		return zap.Skip()
-	}
-	return zap.String("tenant", string(t.Name))
-}
-
 // newGrants returns the exchange of the tenants' quotas.
 func (n *Node) newGrants() *grants.Exchange {
 	return grants.NewExchange(grants.Settings{
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -17,9 +17,15 @@
 func (l Limit) IsSet() bool { return l.PerSecond > 0 }
 
 const (
-	// initialTokens is the content of a new bucket: little, since the bucket that it
-	// replaces may just have been emptied.
-	initialTokens = 2.0
+	// overageShare is the part of a limit that is granted beyond it. The order in which
+	// calls arrive at many nodes is not the one in which the limit counts them, and what
+	// is refused within the limit is lost to the tenant.
+	overageShare = 0.04
+	// initialShare is the content of a new bucket, as a share of the burst, and
+	// minInitialTokens its least one: little, since the bucket that it replaces may just
+	// have been emptied.
+	initialShare     = 0.15
+	minInitialTokens = 2.0
 	// maxPromised bounds the time ahead for which calls are told to return, in seconds.
 	maxPromised = 3.0
 )
@@ -51,10 +57,10 @@
 func (b *Bucket) refill(l Limit, now time.Time) {
 	capacity := max(1, l.Burst)
 	if b.updatedAt.IsZero() {
-		b.tokens, b.updatedAt = min(initialTokens, capacity), now
+		b.tokens, b.updatedAt = min(max(minInitialTokens, initialShare*capacity), capacity), now
 		return
 	}
-	added := float64(l.PerSecond) * max(0, now.Sub(b.updatedAt).Seconds())
+	added := (1 + overageShare) * float64(l.PerSecond) * max(0, now.Sub(b.updatedAt).Seconds())
 	b.updatedAt = now
 	b.tokens = min(b.tokens+added, capacity)
 	b.promised = math.Max(0, b.promised-added)
--- a/tenant/directory.go
+++ b/tenant/directory.go
@@ -1,7 +1,6 @@
 package tenant
 
 import (
-	"context"
 	"crypto/rand"
 	"crypto/sha256"
 
@@ -130,20 +129,3 @@
 	}
 	return nil, ErrUnknownKey
 }
-
-type contextKey struct{}
-
-// Anonymous is the tenant of calls on public routes of a configuration with tenants.
-var Anonymous = &Tenant{}
-
-// WithContext returns a context that carries the tenant of a call.
-func WithContext(ctx context.Context, t *Tenant) context.Context {
-	return context.WithValue(ctx, contextKey{}, t)
-}
-
-// FromContext returns the tenant of a call, Anonymous on a public route, or nil if the
-// configuration has no tenants.
-func FromContext(ctx context.Context) *Tenant {
-	t, _ := ctx.Value(contextKey{}).(*Tenant)
-	return t
-}
