--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -15,7 +15,9 @@
 	"github.com/apricotmount/apricotmount/metrics"
 	"github.com/apricotmount/apricotmount/profile"
 	"github.com/apricotmount/apricotmount/service"
+	"github.com/apricotmount/apricotmount/tenant"
 	"github.com/apricotmount/apricotmount/vm"
+	"github.com/apricotmount/apricotmount/wire"
 )
 
 // oneRoute routes all calls alike.
@@ -27,7 +29,9 @@
 func newSendingHandler(t *testing.T, idempotent bool) (*entry.Handler, *Sender) {
 	t.Helper()
 	p := &profile.Profile{Idempotent: idempotent, CallTimeout: 5 * time.Second}
-	h := &entry.Handler{Metrics: metrics.NewCalls(metrics.NewDiscardRegistry().Scope), Dispatcher: &dispatch.Dispatcher{}}
+	protocol := wire.DefaultProtocol
+	protocol.KeyHeader, protocol.TenantHeader = "Api-Key", "Tenant"
+	h := &entry.Handler{Metrics: metrics.NewCalls(metrics.NewDiscardRegistry().Scope), Dispatcher: &dispatch.Dispatcher{}, Settings: entry.Settings{Protocol: protocol}}
 	sender := NewSender(Settings{Zone: "east", Callers: h, Dispatcher: &dispatch.Dispatcher{}})
 	h.Forwarder = sender
 	h.Directory = oneRoute{entry.Route{Service: &service.Service{Name: "a"}, Profile: p, Dispatch: newLostService()}}
@@ -102,6 +106,34 @@
 	}
 }
 
+// Guards against a key that reaches another node with a relayed call, and against a tenant
+// that the caller names.
+func TestRelayedCallNamesTenantAndHasNoKey(t *testing.T) {
+	h, sender := newSendingHandler(t, true)
+	var got atomic.Pointer[http.Request]
+	takes := startReceiver(t, "node-2", always, func(w http.ResponseWriter, r *http.Request) {
+		got.Store(r)
+		w.WriteHeader(http.StatusCreated)
+	})
+	setNodes(sender, []vm.VM{{ID: "self"}, takes})
+	r := httptest.NewRequest(http.MethodGet, "http://h.example/x", nil)
+	r.Header.Set("Api-Key", "secret")
+	r.Header.Set("Connection", "Tenant")
+	r.Header["Tenant"] = []string{"other", "another"}
+	r = r.WithContext(tenant.WithContext(r.Context(), &tenant.Tenant{Name: "one"}))
+	h.ServeHTTP(httptest.NewRecorder(), r)
+	relayed := got.Load()
+	if relayed == nil {
+		t.Fatal("relayed call: got none, want one")
+	}
+	if got := relayed.Header.Values("Tenant"); len(got) != 1 || got[0] != "one" {
+		t.Errorf("tenant: got %v, want one", got)
+	}
+	if got := relayed.Header.Get("Api-Key"); got != "" {
+		t.Errorf("key at the other node: got %q, want none", got)
+	}
+}
+
 // A node that breaks off has perhaps run the call. One that is not idempotent is not sent
 // again, and its caller does not get a response that it was not run.
 func TestCallWhoseNodeBreaksOffIsUnknown(t *testing.T) {
