--- a/canary/decide_test.go
+++ b/canary/decide_test.go
@@ -111,8 +111,8 @@
 
 const decisionRaces = 24
 
-// Guards against two results for one order when several nodes believe that they decide,
-// and writes are lost, late or refused.
+// Guards against two results for one order when several nodes decide at a time, and
+// writes are lost, late or refused.
 func TestOrderHasOneResult(t *testing.T) {
 	var races sync.WaitGroup
 	for seed := range uint64(decisionRaces) {
--- a/canary/doc.go
+++ b/canary/doc.go
@@ -3,7 +3,7 @@
 //
 // Every node stops a roll-out by itself once the samples show a bad version. The node that
 // reads the operator topic decides about the move and writes the result. Two nodes may
-// believe that they are this one, after a pause or while links are cut; the store accepts
-// a result only at the end of the status topic that its writer has read, so that the first
+// take this role at a time, after a pause or while links are cut; the store accepts a
+// result only at the end of the status topic that its writer has read, so that the first
 // result of an order is the only one.
 package canary
--- a/canary/exchange.go
+++ b/canary/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -264,19 +263,3 @@
 		}
 	}
 }
-
-// Summaries returns the figures of all orders, sorted by service.
-func (x *Exchange) Summaries() (list []rollout.Summary) {
-	for _, s := range x.all() {
-		if sum, ok := s.Summary(); ok {
-			list = append(list, sum)
-		}
-	}
-	slices.SortFunc(list, func(a, b rollout.Summary) int {
-		if a.Order.Service < b.Order.Service {
-			return -1
-		}
-		return 1
-	})
-	return list
-}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -183,3 +183,21 @@
 	}
 	return zap.Int64(key, now.Sub(readAt).Milliseconds())
 }
+
+// gaugeValues returns the values of the node's gauges.
+func (n *Node) gaugeValues(now time.Time) metrics.GatewayState {
+	age := func(t replica.Topic) float64 {
+		_, readAt := n.state.readPosition(t)
+		if readAt.IsZero() {
+			return 0
+		}
+		return now.Sub(readAt).Seconds()
+	}
+	return metrics.GatewayState{
+		IsReady: n.isReady(), IsStoreReader: n.isReading[replica.Operator].Load() || n.isReading[replica.Targets].Load(), PlanVersion: n.planVersion(), PlanAgeSeconds: n.upstreams.active.Load().age(now).Seconds(),
+		OperatorAgeSeconds: age(replica.Operator), TargetsAgeSeconds: age(replica.Targets),
+		NodeCount: len(n.state.fleetNodes(now)), PeerLinkCount: len(n.hub.Links()), HeldCallCount: n.upstreams.admission.HeldCount(),
+		LimitedTargetCount: n.upstreams.limitedTargetCount(now),
+		HeldRequestCount:   n.quarantine.Ledger.HeldCount(), LostPathCount: n.paths.LostCount(), RelayedCallCount: int(n.receiver.OpenCallCount()),
+	}
+}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -269,24 +269,6 @@
 	event.NodeUnready.Log(n.logger, zap.Bool("leaving", n.isLeaving.Load()))
 }
 
-// gaugeValues returns the values of the node's gauges.
-func (n *Node) gaugeValues(now time.Time) metrics.GatewayState {
-	age := func(t replica.Topic) float64 {
-		_, readAt := n.state.readPosition(t)
-		if readAt.IsZero() {
-			return 0
-		}
-		return now.Sub(readAt).Seconds()
-	}
-	return metrics.GatewayState{
-		IsReady: n.isReady(), IsStoreReader: n.isReading[replica.Operator].Load() || n.isReading[replica.Targets].Load(), PlanVersion: n.planVersion(), PlanAgeSeconds: n.upstreams.active.Load().age(now).Seconds(),
-		OperatorAgeSeconds: age(replica.Operator), TargetsAgeSeconds: age(replica.Targets),
-		NodeCount: len(n.state.fleetNodes(now)), PeerLinkCount: len(n.hub.Links()), HeldCallCount: n.upstreams.admission.HeldCount(),
-		LimitedTargetCount: n.upstreams.limitedTargetCount(now),
-		HeldRequestCount:   n.quarantine.Ledger.HeldCount(), LostPathCount: n.paths.LostCount(), RelayedCallCount: int(n.receiver.OpenCallCount()),
-	}
-}
-
 // logDroppedLines logs how many log lines were dropped.
 func (n *Node) logDroppedLines() {
 	if n.droppedLogLines == nil {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -26,7 +26,8 @@
 	// have been emptied.
 	initialShare     = 0.15
 	minInitialTokens = 2.0
-	// maxPromised bounds the time ahead for which calls are told to return, in seconds.
+	// maxPromised bounds the time ahead that refused calls get for their return, in
+	// seconds.
 	maxPromised = 3.0
 )
 
@@ -34,8 +35,7 @@
 // use.
 type Bucket struct {
 	tokens float64
-	// promised is the number of calls that were told to return and have not yet had the
-	// time to.
+	// promised is the number of refused calls whose time to return has not passed.
 	promised  float64
 	updatedAt time.Time
 }
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -43,7 +43,7 @@
 	recentWindow = 4 * time.Second
 )
 
-// Verdict is what the samples say about a version.
+// Verdict is the result of comparing a new version with the old one.
 type Verdict struct {
 	IsBad bool
 	// IsSlow distinguishes a slow version from a failing one.
