Grant a quota at its exact rate again

What is refused of a hot tenant is not owed; the late calls are those that came back. The simpler sum stays.

--- a/quota/account.go
+++ b/quota/account.go
@@ -13,7 +13,7 @@
 	maxGrant = 64
 	// cautiousDivisor divides the expected calls: what is not used in time is missing
 	// elsewhere until it is given back.
-	cautiousDivisor = 4
+	cautiousDivisor = 8
 	// demandWeight is the weight of one interval between calls in the average.
 	demandWeight = 0.2
 	// maxDenial is the longest time for which an account refuses calls by itself after a
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -17,10 +17,6 @@
 func (l Limit) IsSet() bool { return l.PerSecond > 0 }
 
 const (
-	// overageShare is the part of a limit that is granted beyond it. The order in which
-	// calls arrive at many nodes is not the one in which the limit counts them, and what
-	// is refused within the limit is lost to the tenant.
-	overageShare = 0.04
 	// initialShare is the content of a new bucket, as a share of the burst, and
 	// minInitialTokens its least one: little, since the bucket that it replaces may just
 	// have been emptied.
@@ -60,7 +56,7 @@
 		b.tokens, b.updatedAt = min(max(minInitialTokens, initialShare*capacity), capacity), now
 		return
 	}
-	added := (1 + overageShare) * float64(l.PerSecond) * max(0, now.Sub(b.updatedAt).Seconds())
+	added := float64(l.PerSecond) * max(0, now.Sub(b.updatedAt).Seconds())
 	b.updatedAt = now
 	b.tokens = min(b.tokens+added, capacity)
 	b.promised = math.Max(0, b.promised-added)
