--- a/event/event.go
+++ b/event/event.go
@@ -138,6 +138,11 @@
 	RolloutInvalid     = register(824, "rollout-invalid", zap.ErrorLevel, "An order cannot be read and is ignored; the field error names the field.")
 )
 
+// Events of quotas.
+var (
+	QuotaOwnerSilent = register(830, "quota-owner-silent", zap.WarnLevel, "A node that grants quotas of tenants (field peer) does not respond to datagrams; deputies grant a small part of these quotas, and all of them after 1.5 s.")
+)
+
 // Events of peers.
 var (
 	PeerUp      = register(500, "peer-up", zap.InfoLevel, "A connection to a peer was established.")
--- a/gateway/tenant.go
+++ b/gateway/tenant.go
@@ -40,7 +40,7 @@
 // newGrants returns the exchange of the tenants' quotas.
 func (n *Node) newGrants() *grants.Exchange {
 	return grants.NewExchange(grants.Settings{
-		Self:  n.self.ID,
+		Self: n.self.ID, Logger: n.logger,
 		Nodes: func() []vm.VM { return n.state.fleetNodes(time.Now()) },
 		Limit: func(name tenant.Name) quota.Limit {
 			plan := n.upstreams.active.Load().plan
--- a/grants/exchange.go
+++ b/grants/exchange.go
@@ -12,7 +12,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
+	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/quota"
 	"github.com/apricotmount/apricotmount/tenant"
@@ -38,7 +40,8 @@
 	// Nodes returns the known nodes of the fleet, this one included. An ID is the address.
 	Nodes func() []vm.VM
 	// Limit returns the limit of a tenant in the configuration in force.
-	Limit func(name tenant.Name) quota.Limit
+	Limit  func(name tenant.Name) quota.Limit
+	Logger *zap.Logger
 }
 
 // Exchange grants the calls of the tenants that this node owns, and asks other nodes for
@@ -255,7 +258,9 @@
 		case <-ctx.Done():
 			return message{}, false
 		case <-timer.C:
-			x.silences.record(to, false, time.Now())
+			if x.silences.record(to, false, time.Now()) {
+				event.QuotaOwnerSilent.Log(x.settings.Logger, zap.String("peer", string(to)))
+			}
 		}
 	}
 	return message{}, false
--- a/grants/owner.go
+++ b/grants/owner.go
@@ -56,8 +56,8 @@
 	byNode map[vm.ID]*silence
 }
 
-// record records whether a node responded.
-func (s *silences) record(id vm.ID, responded bool, now time.Time) {
+// record records whether a node responded, and reports whether it has just become silent.
+func (s *silences) record(id vm.ID, responded bool, now time.Time) (isNewlySilent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.byNode == nil {
@@ -65,7 +65,7 @@
 	}
 	if responded {
 		delete(s.byNode, id)
-		return
+		return false
 	}
 	n := s.byNode[id]
 	if n == nil || now.Sub(n.checkedAt) > silenceRetention {
@@ -74,6 +74,7 @@
 	}
 	n.checkedAt = now
 	n.unanswered++
+	return n.unanswered == minUnanswered
 }
 
 // minUnanswered is the number of unanswered datagrams in a row from which a node is silent:
