State at each hop of a call how many targets may have run it

Nodes now log the attempts that may have run and those that are left (call-placed, call-failed, call-forwarded), the calls that they take from others (711 call-relayed) and those that they do not (712 relay-refused, with the reason, and the counter relay_refusals). apricotctl explain ends with the targets that may have run the call over all nodes.

--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -50,6 +50,10 @@
 	LimitAge time.Duration
 	// IsLate reports whether the call could no longer meet its latency objective.
 	IsLate bool
+	// RunCount is the number of earlier attempts of this node that may have run, and
+	// ExtraAttemptsLeft the number of extra attempts that the call may still make. Neither is
+	// set for a hedge.
+	RunCount, ExtraAttemptsLeft int
 	// SinceArrival is the time since the call arrived.
 	SinceArrival time.Duration
 	// Result is how a failed attempt ended, and Written reports whether a byte of
@@ -91,6 +95,10 @@
 		Kind: kind, Target: reservation.Ref, Forecast: reservation.Forecast, ForecastLimit: r.forecastLimit(),
 		LoadReport: reservation.Report, LoadReportAge: reservation.ReportAge, Limit: reservation.Limit, LimitAge: reservation.LimitAge, IsLate: r.isLate, SinceArrival: now.Sub(r.arrivedAt),
 	}
+	if kind != Hedged {
+		// A hedge runs beside the attempt that changes these.
+		d.RunCount, d.ExtraAttemptsLeft = r.runCount, r.allowance.Remaining()
+	}
 	if f != nil {
 		d.Result, d.Written = f.Result, f.Written
 	}
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -87,6 +87,7 @@
 	}
 	r.dispatcher.countExtraAttempt(outcome.RetryServerFailed)
 	r.mayHaveRun = true
+	r.runCount++
 	r.suspect.recordCompletion()
 	resp.Response.Discard()
 	resp.cancel()
@@ -184,6 +185,7 @@
 	}
 	r.mayHaveRun = true
 	r.possibleRunCount++
+	r.runCount++
 	if !r.call.Profile.Idempotent {
 		r.dispatcher.Checks.Check(r.possibleRunCount <= 1, invariant.SendOnce)
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -31,6 +31,9 @@
 	// possibleRunCount is the number of failed attempts that may have run at their
 	// targets.
 	possibleRunCount int
+	// runCount is the number of attempts before the current one that may have run,
+	// including those that got a server error.
+	runCount int
 	// hasAttempted reports whether any attempt was made.
 	hasAttempted bool
 	// hasTriedCanary reports whether it was decided if the call goes to a new version.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -46,6 +46,12 @@
 	if d.Target.Zone != n.settings.Zone {
 		fields = append(fields, zap.String("zone", string(d.Target.Zone)))
 	}
+	if d.RunCount > 0 {
+		fields = append(fields, zap.Int("runs", d.RunCount))
+	}
+	if d.Kind != dispatch.Hedged {
+		fields = append(fields, zap.Int("extra-left", d.ExtraAttemptsLeft))
+	}
 	if d.IsLate {
 		fields = append(fields, zap.Bool("late", true))
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -20,7 +21,7 @@
 	n.receiver = &relay.Receiver{
 		Handler: n.handler, Self: n.self.ID, Instance: strconv.FormatUint(uint64(n.hub.Self), 16),
 		IsMember: n.isMemberIP, CanServe: n.isReady, Prepare: n.relayedTenant,
-		OnForeign: func(remote string) { event.PeerRefused.Log(n.logger, zap.String("remote", remote)) },
+		OnCall: n.logRelayed, OnRefusal: n.logRelayRefused,
 	}
 	n.sender = relay.NewSender(relay.Settings{
 		Zone: n.settings.Zone, Callers: n.handler, OnCallEnd: n.recordForwardEnd,
@@ -29,6 +30,17 @@
 	n.handler.Forwarder = n.sender
 }
 
+// logRelayed logs a call that another node has sent.
+func (n *Node) logRelayed(r *http.Request, from string) {
+	event.CallRelayed.Log(n.logger, zap.String("id", r.Header.Get(n.requestIDHeader)), zap.String("from", from), zap.Int64("version", n.planVersion()))
+}
+
+// logRelayRefused logs a call of another node that this one did not take, and counts it.
+func (n *Node) logRelayRefused(r *http.Request, from string, reason relay.Refusal) {
+	n.gatewayMetrics.CountRelayRefusal(string(reason))
+	event.RelayRefused.Log(n.logger, zap.String("id", r.Header.Get(n.requestIDHeader)), zap.String("from", from), zap.String("reason", string(reason)))
+}
+
 // isMemberIP reports whether an IP address is that of a known node of the fleet.
 func (n *Node) isMemberIP(ip string) bool {
 	for _, v := range n.state.FleetNodes(time.Now()) {
@@ -47,7 +59,7 @@
 	fields := []zap.Field{zap.String("id", c.ID), zap.String("via", string(d.Target.ID)), zap.Int64("since-ms", d.SinceArrival.Milliseconds()), zap.Int64("version", o.node.planVersion())}
 	switch d.Kind {
 	case dispatch.Placed:
-		event.CallForwarded.Log(o.node.logger, fields...)
+		event.CallForwarded.Log(o.node.logger, append(fields, zap.Int("runs", d.RunCount), zap.Int("extra-left", d.ExtraAttemptsLeft))...)
 	case dispatch.Failed:
 		event.ForwardFailed.Log(o.node.logger, append(fields, zap.Stringer("result", d.Result), zap.Bool("written", d.Written))...)
 	}
--- a/logbook/line.go
+++ b/logbook/line.go
@@ -48,6 +48,13 @@
 	SinceMillis int64   `json:"since-ms"`
 	LimitMillis float64 `json:"limit-ms"`
 	IsLate      bool    `json:"late"`
+	// Result is how an attempt failed, and IsWritten states whether a byte of it may have
+	// reached the target. Via is the node that a call was sent through, and ExtraLeft the
+	// number of extra attempts that it could still make.
+	Result    string `json:"result"`
+	IsWritten bool   `json:"written"`
+	Via       string `json:"via"`
+	ExtraLeft int    `json:"extra-left"`
 	// JSON is the JSON text of the line, without what precedes the first brace.
 	JSON string `json:"-"`
 }
--- a/logbook/trace.go
+++ b/logbook/trace.go
@@ -95,7 +95,8 @@
 			return err
 		}
 	}
-	return nil
+	_, err := fmt.Fprintln(w, summary(steps))
+	return err
 }
 
 func (s Step) writeNodeState(w io.Writer) error {
--- a/metrics/gateway.go
+++ b/metrics/gateway.go
@@ -78,6 +78,11 @@
 // CountLimited counts a call that a rate limit let through or held back.
 func (g *Gateway) CountLimited(r LimitedResult) { g.limited[r].Inc(1) }
 
+// CountRelayRefusal counts a call of another node that this one did not take.
+func (g *Gateway) CountRelayRefusal(reason string) {
+	g.scope.Tagged(map[string]string{"reason": reason}).Counter("relay_refusals").Inc(1)
+}
+
 // CountLoadQuery counts a load query to a target; isAnswered reports whether the
 // target responded in time.
 func (g *Gateway) CountLoadQuery(isAnswered bool) {
--- a/metrics/page_test.go
+++ b/metrics/page_test.go
@@ -24,6 +24,7 @@
 	g := NewGateway(r.Scope)
 	g.UpdateGauges(GatewayState{})
 	g.RecordCall("s", outcome.Done, time.Millisecond)
+	g.CountRelayRefusal("no-path")
 	NewRollouts(r.Scope).Update(RolloutState{Service: "s"})
 	var text strings.Builder
 	if err := writeText(&text, r.snapshot()); err != nil {
--- a/relay/receiver.go
+++ b/relay/receiver.go
@@ -32,12 +32,31 @@
 	// Prepare, if set, returns a relayed call with what the sender has stated about its
 	// caller.
 	Prepare func(r *http.Request) *http.Request
-	// OnForeign, if set, is called with the address of a sender that is no node.
-	OnForeign func(remote string)
+	// OnCall, if set, is called with each relayed call that is taken, and OnRefusal with each
+	// one that is refused before the start; from is the address of the sender.
+	OnCall    func(r *http.Request, from string)
+	OnRefusal func(r *http.Request, from string, reason Refusal)
 
 	openCalls atomic.Int64
 }
 
+// Refusal is the reason why a node did not take a relayed call.
+type Refusal string
+
+// The reasons for refusals.
+const (
+	// UnknownSender: this node does not list the sender as a node of the fleet.
+	UnknownSender Refusal = "unknown-sender"
+	// OtherNode: the call is meant for another node.
+	OtherNode Refusal = "other-node"
+	// TooManyCalls: this node serves as many relayed calls as it may.
+	TooManyCalls Refusal = "too-many-calls"
+	// NotReady: this node has no configuration yet, or leaves.
+	NotReady Refusal = "not-ready"
+	// NoPath: this node has no path to the targets either.
+	NoPath Refusal = "no-path"
+)
+
 // OpenCallCount returns the number of relayed calls in progress.
 func (rc *Receiver) OpenCallCount() int64 {
 	return rc.openCalls.Load()
@@ -68,23 +87,32 @@
 
 // serve serves a relayed call.
 func (rc *Receiver) serve(w http.ResponseWriter, r *http.Request, to vm.ID) {
-	ip, _, err := net.SplitHostPort(r.RemoteAddr)
+	from := r.RemoteAddr
+	ip, _, err := net.SplitHostPort(from)
 	if err != nil || !rc.IsMember(ip) {
-		if rc.OnForeign != nil {
-			rc.OnForeign(r.RemoteAddr)
-		}
+		rc.reportRefusal(r, from, UnknownSender)
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
 	if to != rc.Self {
+		rc.reportRefusal(r, from, OtherNode)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	defer rc.openCalls.Add(-1)
-	if rc.openCalls.Add(1) > maxOpenCalls || !rc.CanServe() {
+	if rc.openCalls.Add(1) > maxOpenCalls {
+		rc.reportRefusal(r, from, TooManyCalls)
 		refuse(w)
 		return
 	}
+	if !rc.CanServe() {
+		rc.reportRefusal(r, from, NotReady)
+		refuse(w)
+		return
+	}
+	if rc.OnCall != nil {
+		rc.OnCall(r, from)
+	}
 	rc.writeState(w)
 	if caller := r.Header.Get(headerCaller); caller != "" {
 		r.RemoteAddr = net.JoinHostPort(caller, "0")
@@ -95,10 +123,17 @@
 		r = rc.Prepare(r)
 	}
 	if !rc.Handler.ServeRelayed(w, r) {
+		rc.reportRefusal(r, from, NoPath)
 		refuse(w)
 	}
 }
 
+func (rc *Receiver) reportRefusal(r *http.Request, from string, reason Refusal) {
+	if rc.OnRefusal != nil {
+		rc.OnRefusal(r, from, reason)
+	}
+}
+
 // refuse writes the response to a call that this node has not started.
 func refuse(w http.ResponseWriter) {
 	w.Header().Set(headerRefused, refusedBeforeStart)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -173,7 +173,11 @@
 
 func TestReceiverTakesCallsOfMembersOnly(t *testing.T) {
 	foreign := 0
-	rc := &Receiver{Self: "self", Instance: "1", IsMember: func(ip string) bool { return ip == "10.0.0.1" }, CanServe: always, OnForeign: func(string) { foreign++ }}
+	rc := &Receiver{Self: "self", Instance: "1", IsMember: func(ip string) bool { return ip == "10.0.0.1" }, CanServe: always, OnRefusal: func(_ *http.Request, _ string, reason Refusal) {
+		if reason == UnknownSender {
+			foreign++
+		}
+	}}
 	for _, tt := range []struct {
 		remote, to string
 		want       int
