Reproduce calls that reach too many targets and refusals that are not the caller's

A call ends in 403, 404 or 504 although a third node takes it, if the second one does not list the sender, lacks the route, or is another node than expected.

--- /dev/null
+++ b/relay/limits_test.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/apricotmount/apricotmount/profile"
+)
+
+// Guards against a limit of targets for a call that starts anew at each node that the call goes
+// through.
+func TestForwardedCallReachesMoreTargetsThanItsLimit(t *testing.T) {
+	for _, maxRetries := range []int{0, 1, 2, 4} {
+		t.Run(fmt.Sprint(maxRetries, " retries"), func(t *testing.T) {
+			f := newTestFleet(t, profile.Profile{Idempotent: true, CallTimeout: 5 * time.Second, AttemptTimeout: time.Second, MaxRetries: maxRetries}, 4, 12)
+			f.respond = loseResponse
+			f.nodes[0].path.set(true)
+			for i := range 20 {
+				id := fmt.Sprint("call-", i)
+				f.call(0, id)
+				if got := f.runCount(id); got > maxRetries+1 {
+					t.Fatalf("targets that ran a call: got %d, want at most %d", got, maxRetries+1)
+				}
+			}
+		})
+	}
+}
+
+// Guards against the refusal of a node to take a call from another one, for a reason that lies
+// between the two, as the response to the caller.
+func TestRefusalBetweenNodesReachesCaller(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		set  func(n *fleetNode)
+	}{
+		{"sender not listed", func(n *fleetNode) { n.isUnlisted.Store(true) }},
+		{"route not known", func(n *fleetNode) { n.lacksRoute.Store(true) }},
+		{"other node at the address", func(n *fleetNode) { n.receiver.Self = "node-9" }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newTestFleet(t, profile.Profile{CallTimeout: 5 * time.Second}, 3, 4)
+			f.nodes[0].path.set(true)
+			tt.set(f.nodes[1])
+			for i := range 20 {
+				if w := f.call(0, fmt.Sprint("call-", i)); w.Code != http.StatusOK {
+					t.Fatalf("status: got %d, want 200 from the node that takes the call", w.Code)
+				}
+			}
+			tt.set(f.nodes[2])
+			if w := f.call(0, "call"); w.Code != http.StatusServiceUnavailable {
+				t.Errorf("status when no node takes the call: got %d, want 503", w.Code)
+			}
+		})
+	}
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -64,13 +64,16 @@
 func always() bool { return true }
 
 // setNodes sets the nodes of a fleet for the node "self".
-func setNodes(s *Sender, nodes []vm.VM) {
+func setNodes(s *Sender, nodes []vm.VM) { setNodesOf(s, nodes, "self") }
+
+// setNodesOf sets the nodes of a fleet for one of them.
+func setNodesOf(s *Sender, nodes []vm.VM, self vm.ID) {
 	var ids []vm.ID
 	for _, n := range nodes {
 		ids = append(ids, n.ID)
 	}
 	slices.Sort(ids)
-	s.SetNodes(nodes, ids, "self", time.Now())
+	s.SetNodes(nodes, ids, self, time.Now())
 }
 
 func post(h http.Handler, body string) *httptest.ResponseRecorder {
