Keep the limit of targets of a call over all nodes that it goes through

A call that a node forwards for want of a path got a new allowance there, and the receiving node began with the route's whole limit, since with the product's headers left out nothing stated what was left: own attempts plus two nodes times the limit.

A receiver without a readable statement makes one attempt.

A call without a stated limit was repeated before, and is not any more (TestRelayedCallWithoutStatedLimitIsRepeated).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -107,6 +107,9 @@
 	BodyReplayable bool
 	// Claim guards a call with an idempotency key; it is nil without one.
 	Claim Claim
+	// IsRelayed reports whether another node has sent the call, which is not sent through a
+	// third one.
+	IsRelayed bool
 }
 
 // LoadQuerier queries the load of targets.
@@ -212,6 +215,9 @@
 	// CanForward reports whether the call may be sent through another node: this one has no
 	// path to the targets, and no copy may have run or one more is paid for.
 	CanForward bool
+	// Allowance is what is left of the call's allowance. If CanForward, the next attempt is
+	// not counted in it.
+	Allowance retry.Allowance
 	// EarliestRetry is the delay before which a retry would be refused again; zero if
 	// unknown.
 	EarliestRetry time.Duration
@@ -235,7 +241,7 @@
 	}
 	if svc.isPathLost() {
 		suspect.leave()
-		return nil, &CallFailure{Outcome: outcome.NotRun, Reason: outcome.PathLost, CanForward: true}
+		return nil, &CallFailure{Outcome: outcome.NotRun, Reason: outcome.PathLost, CanForward: !c.IsRelayed, Allowance: c.Allowance}
 	}
 	permit, reason := svc.Gate.Acquire(ctx, admission.Request{
 		Urgency: c.Profile.Urgency, Caller: c.Caller, Deadline: c.Deadline, MaxWait: c.Profile.QueueTimeout,
@@ -262,6 +268,11 @@
 	return c.reservation.Ref
 }
 
+// IsRelayed reports whether another node has sent the call.
+func (c *CallResponse) IsRelayed() bool {
+	return c.run.call.IsRelayed
+}
+
 // Finish ends a call whose target responded; result is how the response's body
 // ended.
 func (c *CallResponse) Finish(result target.Result) {
--- a/dispatch/path.go
+++ b/dispatch/path.go
@@ -27,7 +27,7 @@
 	// A call that reached none of several targets need not wait until the path is known to
 	// be lost.
 	isParted := reason == outcome.PathLost || reason == outcome.ConnectFailed && r.service.Path != nil && r.service.Path.IsInDoubt()
-	if !isParted || !r.call.BodyReplayable && r.hasAttempted {
+	if !isParted || r.call.IsRelayed || !r.call.BodyReplayable && r.hasAttempted {
 		return false
 	}
 	return !r.mayHaveRun || r.chargeRetry()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -183,12 +183,12 @@
 func (r *run) callFailure(reason outcome.Reason) *CallFailure {
 	canForward := r.canForward(reason)
 	if r.mayHaveRun {
-		return &CallFailure{Outcome: outcome.Unknown, Reason: unknownReason(reason, r.lastLossReason), ExtraAttempts: r.allowance.Spent(), CanForward: canForward}
+		return &CallFailure{Outcome: outcome.Unknown, Reason: unknownReason(reason, r.lastLossReason), ExtraAttempts: r.allowance.Spent(), CanForward: canForward, Allowance: r.allowance}
 	}
 	if r.call.Claim != nil {
 		r.call.Claim.Release()
 	}
-	return &CallFailure{Outcome: outcome.NotRun, Reason: reason, ExtraAttempts: r.allowance.Spent(), CanForward: canForward}
+	return &CallFailure{Outcome: outcome.NotRun, Reason: reason, ExtraAttempts: r.allowance.Spent(), CanForward: canForward, Allowance: r.allowance}
 }
 
 // checkFailure checks that a call reported as not run had no attempt that may have
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -6,7 +6,6 @@
 
 	"github.com/apricotmount/apricotmount/dispatch"
 	"github.com/apricotmount/apricotmount/outcome"
-	"github.com/apricotmount/apricotmount/retry"
 )
 
 // Forwarder sends calls through other nodes.
@@ -17,12 +16,13 @@
 }
 
 // forward sends a call through another node after it failed here for lack of a path. Its
-// deadline stays as it is, and so does it that a copy may have run.
-func (h *Handler) forward(w http.ResponseWriter, r *http.Request, in inboundCall, f Forwarder, former *dispatch.CallFailure, arrivedAt time.Time) {
-	next, route := f.Forward(in.route, r)
+// deadline and what is left of its allowance stay as they are, and so does it that a copy may
+// have run.
+func (h *Handler) forward(w http.ResponseWriter, r *http.Request, in inboundCall, former *dispatch.CallFailure, arrivedAt time.Time) {
+	next, route := h.Forwarder.Forward(in.route, r)
 	call := *in.call
 	call.Profile = route.Profile
-	call.Allowance = retry.NewAllowance(route.Profile.MaxRetries)
+	call.Allowance = former.Allowance
 	call.Claim, call.Identity = nil, nil
 	in.route, in.call = route, &call
 	if former.Outcome == outcome.Unknown {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,9 @@
 	// OmitProductHeaders omits the product's own headers from requests to targets and
 	// responses to callers.
 	OmitProductHeaders bool
+	// StateAttempts states in requests how many extra attempts the receiver may make, also
+	// with OmitProductHeaders.
+	StateAttempts bool
 }
 
 const (
@@ -115,18 +119,18 @@
 
 // ServeHTTP handles one call.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.serve(w, r, h.Forwarder)
+	h.serve(w, r, false)
 }
 
 // ServeRelayed handles a call that another node has sent because it has no path to the
 // targets. It returns false, and has not written a response, if this node has none either.
 func (h *Handler) ServeRelayed(w http.ResponseWriter, r *http.Request) (isServed bool) {
-	return h.serve(w, r, nil)
+	return h.serve(w, r, true)
 }
 
-// serve handles one call. It returns false, and has not written a response, if the call was
-// not run because the path to the targets is lost, and there is no forwarder.
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request, forwarder Forwarder) (isServed bool) {
+// serve handles one call. It returns false, and has not written a response, if a relayed call was
+// not run because the path to the targets is lost.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, isRelayed bool) (isServed bool) {
 	h.openCalls.Add(1)
 	defer h.openCalls.Add(-1)
 	if h.isDraining.Load() {
@@ -137,7 +141,7 @@
 	// writes the response. An error is ignored: a connection that does not support
 	// full duplex keeps that behaviour.
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	in, failure := h.parseRequest(r, arrivedAt)
+	in, failure := h.parseRequest(r, arrivedAt, isRelayed)
 	defer func() { h.bufferSpace.release(in.reservedBytes) }()
 	if failure.Reason != "" {
 		h.reportCallEnd(r, in, CallResult{Outcome: failure.Outcome, Reason: failure.Reason, TotalDuration: time.Since(arrivedAt)})
@@ -148,10 +152,10 @@
 	switch {
 	case callFailure == nil:
 		return true
-	case callFailure.CanForward && forwarder != nil:
-		h.forward(w, r, in, forwarder, callFailure, arrivedAt)
+	case callFailure.CanForward && h.Forwarder != nil:
+		h.forward(w, r, in, callFailure, arrivedAt)
 		return true
-	case callFailure.Reason == outcome.PathLost && callFailure.Outcome == outcome.NotRun && forwarder == nil:
+	case callFailure.Reason == outcome.PathLost && callFailure.Outcome == outcome.NotRun && isRelayed:
 		return false
 	}
 	h.fail(w, r, in, callFailure, arrivedAt)
@@ -183,6 +187,9 @@
 // fail reports a call that failed and writes the response.
 func (h *Handler) fail(w http.ResponseWriter, r *http.Request, in inboundCall, f *dispatch.CallFailure, arrivedAt time.Time) {
 	h.reportCallEnd(r, in, CallResult{Outcome: f.Outcome, Reason: f.Reason, ExtraAttempts: f.ExtraAttempts, TotalDuration: time.Since(arrivedAt)})
+	if in.call.IsRelayed {
+		w.Header().Set(HeaderExtraAttempts, strconv.Itoa(f.ExtraAttempts))
+	}
 	h.writeFailure(w, f)
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -31,7 +31,7 @@
 }
 
 // parseRequest parses a request, or returns the reason for rejecting it.
-func (h *Handler) parseRequest(r *http.Request, now time.Time) (in inboundCall, failure outcome.Failure) {
+func (h *Handler) parseRequest(r *http.Request, now time.Time, isRelayed bool) (in inboundCall, failure outcome.Failure) {
 	route, ok := h.Directory.Route(HostWithoutPort(r.Host), r.URL.Path)
 	if !ok {
 		return inboundCall{}, notRun(outcome.NoService)
@@ -71,8 +71,9 @@
 		Profile:        route.Profile,
 		Caller:         h.caller(r),
 		Deadline:       now.Add(timeout),
-		Allowance:      retry.NewAllowance(min(route.Profile.MaxRetries, parseCount(r.Header, HeaderMaxExtraAttempts, route.Profile.MaxRetries))),
+		Allowance:      retry.NewAllowance(maxExtraAttempts(r, route.Profile.MaxRetries, isRelayed)),
 		BodyReplayable: b.isReplayable(),
+		IsRelayed:      isRelayed,
 	}
 	call.Identity = &identity{caller: h.callerIdentity(r), inbound: r, body: b}
 	call.Claim, failure = h.claim(r, route, b)
@@ -80,6 +81,16 @@
 	return in, failure
 }
 
+// maxExtraAttempts returns the number of extra attempts that a call may make, limit at most. A
+// call of another node makes none unless that node states how many are left.
+func maxExtraAttempts(r *http.Request, limit int, isRelayed bool) int {
+	unstated := limit
+	if isRelayed {
+		unstated = 0
+	}
+	return min(limit, parseCount(r.Header, HeaderMaxExtraAttempts, unstated))
+}
+
 // caller returns the identity of the caller, which is used for fair queueing only: its
 // tenant, if the configuration has any.
 func (h *Handler) caller(r *http.Request) admission.Caller {
--- a/entry/response.go
+++ b/entry/response.go
@@ -154,9 +154,14 @@
 	for name := range r.resp.Trailer {
 		header.Add("Trailer", name)
 	}
+	if h.Settings.StateAttempts {
+		header.Del(HeaderExtraAttempts)
+	}
+	if callResponse.IsRelayed() || !h.Settings.OmitProductHeaders {
+		header.Set(HeaderExtraAttempts, strconv.Itoa(callResponse.ExtraAttempts))
+	}
 	if !h.Settings.OmitProductHeaders {
 		header.Set(HeaderOutcome, string(outcome.Done))
-		header.Set(HeaderExtraAttempts, strconv.Itoa(callResponse.ExtraAttempts))
 		header.Set(HeaderWaitMicros, strconv.FormatInt(callResponse.TimeToAttempt.Microseconds(), 10))
 	}
 	w.WriteHeader(r.resp.StatusCode)
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -162,9 +162,11 @@
 	if expect := s.handler.protocol().ExpectHeader; expect != "" {
 		header.Set(expect, string(a.Target.ID))
 	}
+	if s.handler.Settings.StateAttempts || !s.handler.Settings.OmitProductHeaders {
+		header.Set(HeaderMaxExtraAttempts, strconv.Itoa(a.MaxExtraAttempts))
+	}
 	if !s.handler.Settings.OmitProductHeaders {
 		header.Set(HeaderHops, strconv.Itoa(s.hops+1))
-		header.Set(HeaderMaxExtraAttempts, strconv.Itoa(a.MaxExtraAttempts))
 		setForwardedHeaders(header, s.inbound)
 	}
 	out := &http.Request{
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/apricotmount/apricotmount/entry"
 	"github.com/apricotmount/apricotmount/profile"
 )
 
@@ -55,3 +56,30 @@
 		})
 	}
 }
+
+// Guards against a node that repeats a relayed call although the sender does not state how many
+// attempts are left.
+func TestRelayedCallWithoutStatedLimitIsRepeated(t *testing.T) {
+	f := newTestFleet(t, profile.Profile{Idempotent: true, CallTimeout: 5 * time.Second, AttemptTimeout: time.Second, MaxRetries: 3}, 1, 4)
+	f.respond = loseResponse
+	for i, stated := range []string{"", "-1", "1e9", "none"} {
+		id := fmt.Sprint("call-", i)
+		r, err := http.NewRequest(http.MethodGet, "http://"+string(f.nodes[0].vm.Address)+"/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set(headerTo, "node-0")
+		r.Header.Set("Call-Id", id)
+		if stated != "" {
+			r.Header.Set(entry.HeaderMaxExtraAttempts, stated)
+		}
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if got := f.runCount(id); got != 1 {
+			t.Errorf("targets that ran a call with %q attempts left: got %d, want 1", stated, got)
+		}
+	}
+}
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -72,6 +72,7 @@
 	settings := cfg.Callers.Settings
 	callers := settings.Protocol
 	settings.Protocol = protocol(cfg.Callers.DeadlineHeader())
+	settings.StateAttempts = true
 	settings.Protocol.KeyHeader, settings.Protocol.TenantHeader = callers.KeyHeader, callers.TenantHeader
 	s.protocol = settings.Protocol
 	s.service = &dispatch.Service{
@@ -131,9 +132,6 @@
 func (s *Sender) Forward(route entry.Route, r *http.Request) (*entry.Handler, entry.Route) {
 	p := *route.Profile
 	forwarded := profile.Profile{Name: p.Name, Urgency: p.Urgency, Idempotent: p.Idempotent, CallTimeout: p.CallTimeout, AttemptTimeout: p.CallTimeout, QueueTimeout: queueTimeout}
-	if p.Idempotent {
-		forwarded.MaxRetries = 1
-	}
 	if ip, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
 		r.Header.Set(headerCaller, ip)
 	}
