Give the responses between nodes outcomes of their own, not HTTP statuses

A node without a path sends a call through another one; if that one did not list the sender, as nodes that have just started do not, or lacked the route, its status was read as the response of a target and reached the caller.

Each response between nodes now states an outcome. The receiver refuses, with a reason and before the start, whatever lies with itself, and the sender offers the call to another node; anything else that is not a target's response ends as not-run or unknown with its reason, which the sender maps to a status. A response without an outcome leaves the call unknown.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -47,6 +47,7 @@
 func (r *run) recordFailure(ctx context.Context, reservation target.Reservation, f *AttemptFailure) {
 	r.notifyDecision(Failed, reservation, f)
 	r.recordPossibleRun(f)
+	r.hasReached = r.hasReached || f.Written
 	if f.Written && f.Result == target.Broken {
 		r.suspect.recordLoss(ctx, reservation)
 	}
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/apricotmount/apricotmount/outcome"
 	"github.com/apricotmount/apricotmount/target"
 )
 
@@ -60,6 +61,8 @@
 	// it may have reached the target.
 	Result  target.Result
 	Written bool
+	// Reason is why another node has refused the call; empty for targets.
+	Reason outcome.Reason
 	// Turn is the next turn of a call that is held back, CallsAhead the number of calls
 	// that go before it, and IsRefused reports whether it does not wait for the turn.
 	Turn       target.Turn
@@ -100,7 +103,7 @@
 		d.RunCount, d.ExtraAttemptsLeft = r.runCount, r.allowance.Remaining()
 	}
 	if f != nil {
-		d.Result, d.Written = f.Result, f.Written
+		d.Result, d.Written, d.Reason = f.Result, f.Written, f.Reason
 	}
 	r.dispatcher.Observer.ObserveDecision(r.call, d)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -54,6 +54,8 @@
 	BodyConsumed bool
 	// Report is the load report that the target sent with a refusal, if any.
 	Report target.Report
+	// Reason is why another node has refused the call; empty for targets.
+	Reason outcome.Reason
 	// ExtraAttempts is the number of extra attempts charged for the layers below:
 	// without a response, all that they may have made.
 	ExtraAttempts int
@@ -212,17 +214,28 @@
 	// RetryAfter is the delay after which the caller should retry, derived from the
 	// load of the targets; zero if none could be derived.
 	RetryAfter time.Duration
+	// HasReached reports whether an attempt has reached a target, which ran or refused it.
+	HasReached bool
 	// CanForward reports whether the call may be sent through another node: this one has no
 	// path to the targets, and no copy may have run or one more is paid for.
 	CanForward bool
 	// Allowance is what is left of the call's allowance. If CanForward, the next attempt is
 	// not counted in it.
 	Allowance retry.Allowance
+	// AdvisedRetry is the delay that another node has chosen for this caller, which takes the
+	// place of RetryAfter and EarliestRetry; zero if unknown.
+	AdvisedRetry time.Duration
 	// EarliestRetry is the delay before which a retry would be refused again; zero if
 	// unknown.
 	EarliestRetry time.Duration
 }
 
+// IsForAnotherNode reports whether another node may serve the call: no target was reached, and
+// the reason lies with this node.
+func (f *CallFailure) IsForAnotherNode() bool {
+	return f.Outcome == outcome.NotRun && !f.HasReached && outcome.LiesWithNode(f.Reason)
+}
+
 // layerOverhead is subtracted from the deadline passed to a target, for the time
 // that this layer takes itself.
 const layerOverhead = time.Millisecond
@@ -268,6 +281,11 @@
 	return c.reservation.Ref
 }
 
+// MayHaveRun reports whether an attempt before the one that got the response may have run.
+func (c *CallResponse) MayHaveRun() bool {
+	return c.run.mayHaveRun
+}
+
 // IsRelayed reports whether another node has sent the call.
 func (c *CallResponse) IsRelayed() bool {
 	return c.run.call.IsRelayed
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -87,6 +87,7 @@
 	}
 	r.dispatcher.countExtraAttempt(outcome.RetryServerFailed)
 	r.mayHaveRun = true
+	r.hasReached = true
 	r.runCount++
 	r.suspect.recordCompletion()
 	resp.Response.Discard()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -36,6 +36,8 @@
 	runCount int
 	// hasAttempted reports whether any attempt was made.
 	hasAttempted bool
+	// hasReached reports whether an attempt has reached a target, which ran or refused it.
+	hasReached bool
 	// hasTriedCanary reports whether it was decided if the call goes to a new version.
 	hasTriedCanary bool
 	// mayHaveRun reports whether any attempt may have run.
@@ -183,12 +185,12 @@
 func (r *run) callFailure(reason outcome.Reason) *CallFailure {
 	canForward := r.canForward(reason)
 	if r.mayHaveRun {
-		return &CallFailure{Outcome: outcome.Unknown, Reason: unknownReason(reason, r.lastLossReason), ExtraAttempts: r.allowance.Spent(), CanForward: canForward, Allowance: r.allowance}
+		return &CallFailure{Outcome: outcome.Unknown, Reason: unknownReason(reason, r.lastLossReason), ExtraAttempts: r.allowance.Spent(), HasReached: r.hasReached, CanForward: canForward, Allowance: r.allowance}
 	}
 	if r.call.Claim != nil {
 		r.call.Claim.Release()
 	}
-	return &CallFailure{Outcome: outcome.NotRun, Reason: reason, ExtraAttempts: r.allowance.Spent(), CanForward: canForward, Allowance: r.allowance}
+	return &CallFailure{Outcome: outcome.NotRun, Reason: reason, ExtraAttempts: r.allowance.Spent(), HasReached: r.hasReached, CanForward: canForward, Allowance: r.allowance}
 }
 
 // checkFailure checks that a call reported as not run had no attempt that may have
--- a/entry/failure.go
+++ b/entry/failure.go
@@ -81,6 +81,20 @@
 		header.Set("Retry-After", strconv.Itoa(int(advice.RetryAfter.Seconds())))
 		return
 	}
+	delay := RetryDelay(failure)
+	header.Set("Retry-After", strconv.FormatFloat(delay.Seconds(), 'f', 3, 64))
+}
+
+// RetryDelay returns the delay after which the caller of a call that was not run should retry, or
+// zero if none is advised. Callers that were refused together get different delays.
+func RetryDelay(failure *dispatch.CallFailure) time.Duration {
+	advice := outcome.AdviceFor(failure.Reason)
+	if failure.Outcome != outcome.NotRun || advice.RetryAfter <= 0 {
+		return 0
+	}
+	if failure.AdvisedRetry > 0 {
+		return failure.AdvisedRetry
+	}
 	if failure.RetryAfter > 0 {
 		advice.RetryAfter = failure.RetryAfter
 	}
@@ -89,5 +103,5 @@
 	if failure.EarliestRetry > 0 {
 		delay = failure.EarliestRetry + rand.N(max(failure.EarliestRetry/2, minRetrySpread))
 	}
-	header.Set("Retry-After", strconv.FormatFloat(delay.Seconds(), 'f', 3, 64))
+	return delay
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -21,6 +21,8 @@
 	call  *dispatch.Call
 	body  *body
 	hops  int
+	// isRelayed reports whether another node has sent the call.
+	isRelayed bool
 	// reservedBytes is the size of the buffered body.
 	reservedBytes int64
 }
@@ -32,17 +34,18 @@
 
 // parseRequest parses a request, or returns the reason for rejecting it.
 func (h *Handler) parseRequest(r *http.Request, now time.Time, isRelayed bool) (in inboundCall, failure outcome.Failure) {
+	in.isRelayed = isRelayed
 	route, ok := h.Directory.Route(HostWithoutPort(r.Host), r.URL.Path)
 	if !ok {
-		return inboundCall{}, notRun(outcome.NoService)
+		return in, notRun(outcome.NoService)
 	}
 	route = route.withTenantUrgency(tenant.FromContext(r.Context()))
 	if r.Header.Get("Upgrade") != "" {
-		return inboundCall{}, notRun(outcome.UpgradeRefused)
+		return in, notRun(outcome.UpgradeRefused)
 	}
 	requestedTimeout, isSet, ok := parseRemainingTime(r.Header, h.DeadlineHeader())
 	if !ok {
-		return inboundCall{}, notRun(outcome.BadDeadline)
+		return in, notRun(outcome.BadDeadline)
 	}
 	timeout := route.Profile.CallTimeout
 	if timeout == 0 {
@@ -53,7 +56,7 @@
 	}
 	hops := parseCount(r.Header, HeaderHops, 0)
 	if hops >= maxHops {
-		return inboundCall{}, notRun(outcome.TooDeep)
+		return in, notRun(outcome.TooDeep)
 	}
 	b, err := readBody(r, h.replayBufferBytes(), func(n int64) bool {
 		ok := h.bufferSpace.reserve(n, h.Settings.MaxBufferedBytes)
@@ -64,7 +67,7 @@
 	})
 	if err != nil {
 		h.bufferSpace.release(in.reservedBytes)
-		return inboundCall{}, notRun(outcome.BodyBroken)
+		return in, notRun(outcome.BodyBroken)
 	}
 	call := &dispatch.Call{
 		ID:             r.Header.Get(h.protocol().IDHeader),
--- a/entry/response.go
+++ b/entry/response.go
@@ -27,6 +27,10 @@
 	report        target.Report
 	extraAttempts int
 	releaseOnce   sync.Once
+	// nodeFailure is how the call ended at another node without a response of a target, if
+	// isNodeFailure is true.
+	nodeFailure   wire.NodeFailure
+	isNodeFailure bool
 	// isBuffered is true if the whole body was read into memory.
 	isBuffered bool
 }
@@ -63,8 +67,12 @@
 	io.Closer
 }
 
-// IsServerError reports whether the status is 500 or higher.
+// IsServerError reports whether the status is 500 or higher or, for a call that ended at
+// another node, whether it may have run.
 func (r *TargetResponse) IsServerError() bool {
+	if r.isNodeFailure {
+		return r.nodeFailure.Outcome == outcome.Unknown
+	}
 	return r.resp.StatusCode >= http.StatusInternalServerError
 }
 
@@ -104,17 +112,35 @@
 	return resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 }
 
+// rejectResponse ends a call whose response cannot be forwarded: its end cannot be determined, or
+// another node states that it has none. It returns the failure, or nil.
+func rejectResponse(callResponse *dispatch.CallResponse, method string) *dispatch.CallFailure {
+	r := callResponse.Response.(*TargetResponse)
+	failure := &dispatch.CallFailure{Outcome: outcome.Unknown, Reason: outcome.AnswerUnframed, ExtraAttempts: callResponse.ExtraAttempts, HasReached: true}
+	switch {
+	case r.isNodeFailure:
+		r.Discard()
+		callResponse.Finish(target.ServerFailed)
+		failure.Outcome, failure.Reason, failure.AdvisedRetry = r.nodeFailure.Outcome, r.nodeFailure.Reason, r.nodeFailure.RetryAfter
+		if callResponse.MayHaveRun() && failure.Outcome == outcome.NotRun {
+			// This holds for the last copy only.
+			failure.Outcome, failure.Reason = outcome.Unknown, outcome.AnswerLost
+		}
+		return failure
+	case !r.isFramed(method):
+		r.release(false)
+		callResponse.Finish(target.Broken)
+		return failure
+	default:
+		return nil
+	}
+}
+
 // writeResponse forwards a target's response to the caller. It returns a failure if the
 // caller did not get the whole response; aborted reports that the caller's connection
 // must be aborted, because the response is truncated.
 func (h *Handler) writeResponse(w http.ResponseWriter, inbound *http.Request, callResponse *dispatch.CallResponse, arrivedAt time.Time) (failure outcome.Failure, aborted bool) {
 	r := callResponse.Response.(*TargetResponse)
-	if !r.isFramed(inbound.Method) {
-		r.release(false)
-		callResponse.Finish(target.Broken)
-		h.writeFailure(w, &dispatch.CallFailure{Outcome: outcome.Unknown, Reason: outcome.AnswerUnframed, ExtraAttempts: callResponse.ExtraAttempts})
-		return outcome.Failure{Outcome: outcome.Unknown, Reason: outcome.AnswerUnframed}, false
-	}
 	h.writeHeader(w, r, callResponse)
 	err := copyBody(w, r.resp)
 	if err == nil {
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -128,12 +128,13 @@
 		report:        protocol.ParseReport(resp),
 		extraAttempts: min(a.MaxExtraAttempts, parseCount(resp.Header, HeaderExtraAttempts, 0)),
 	}
+	targetResponse.nodeFailure, targetResponse.isNodeFailure = protocol.ParseNodeFailure(resp)
 	switch {
 	case !protocol.IsGenuine(s.inbound.Header, resp):
 		targetResponse.release(false)
 		return nil, &dispatch.AttemptFailure{Result: target.Broken, Written: true, BodyConsumed: !s.body.isReplayable()}, false
 	case protocol.IsRefusal(resp):
-		f := &dispatch.AttemptFailure{Result: target.Refused, Written: true, BodyConsumed: !s.body.isReplayable(), Report: targetResponse.report, ExtraAttempts: targetResponse.extraAttempts}
+		f := &dispatch.AttemptFailure{Result: target.Refused, Written: true, BodyConsumed: !s.body.isReplayable(), Report: targetResponse.report, Reason: targetResponse.nodeFailure.Reason, ExtraAttempts: targetResponse.extraAttempts}
 		if protocol.IsMisdirected(resp) {
 			// The report is that of another process.
 			f.Report = target.Report{}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -61,7 +61,7 @@
 	case dispatch.Placed:
 		event.CallForwarded.Log(o.node.logger, append(fields, zap.Int("runs", d.RunCount), zap.Int("extra-left", d.ExtraAttemptsLeft))...)
 	case dispatch.Failed:
-		event.ForwardFailed.Log(o.node.logger, append(fields, zap.Stringer("result", d.Result), zap.Bool("written", d.Written))...)
+		event.ForwardFailed.Log(o.node.logger, append(fields, zap.Stringer("result", d.Result), zap.Bool("written", d.Written), zap.String("reason", string(d.Reason)))...)
 	}
 }
 
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -103,6 +103,17 @@
 	}
 }
 
+// LiesWithNode reports whether a call was not run for a reason that lies with the node alone:
+// another one may serve it.
+func LiesWithNode(r Reason) bool {
+	switch r {
+	case NoService, BadDeadline, TooDeep, NodeFull, NoTarget, ConnectFailed, PathLost, NodeStopping, UpgradeRefused, BodyBroken, NoPlan, KeyMissing, KeyInvalid:
+		return true
+	default:
+		return false
+	}
+}
+
 // ExtraAttemptReason is the reason why an extra attempt (a retry or a hedge) was
 // made or skipped.
 type ExtraAttemptReason string
--- a/relay/receiver.go
+++ b/relay/receiver.go
@@ -3,10 +3,10 @@
 import (
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 
 	"github.com/apricotmount/apricotmount/entry"
+	"github.com/apricotmount/apricotmount/outcome"
 	"github.com/apricotmount/apricotmount/vm"
 )
 
@@ -43,7 +43,8 @@
 // Refusal is the reason why a node did not take a relayed call.
 type Refusal string
 
-// The reasons for refusals.
+// The reasons for refusals, beside the reasons of outcomes for which another node may serve a
+// call.
 const (
 	// UnknownSender: this node does not list the sender as a node of the fleet.
 	UnknownSender Refusal = "unknown-sender"
@@ -53,8 +54,6 @@
 	TooManyCalls Refusal = "too-many-calls"
 	// NotReady: this node has no configuration yet, or leaves.
 	NotReady Refusal = "not-ready"
-	// NoPath: this node has no path to the targets either.
-	NoPath Refusal = "no-path"
 )
 
 // OpenCallCount returns the number of relayed calls in progress.
@@ -71,49 +70,26 @@
 		case to != "":
 			rc.serve(w, r, vm.ID(to))
 		case r.URL.Path == probePath:
-			rc.writeState(w)
+			rc.writeState(w, outcome.Done)
 		default:
 			next.ServeHTTP(w, r)
 		}
 	})
 }
 
-// writeState sets the headers that describe this node.
-func (rc *Receiver) writeState(w http.ResponseWriter) {
-	w.Header().Set(headerInstance, rc.Instance)
-	w.Header().Set(headerState, stateLive)
-	w.Header().Set(headerInFlight, strconv.FormatInt(rc.openCalls.Load(), 10))
-}
-
 // serve serves a relayed call.
 func (rc *Receiver) serve(w http.ResponseWriter, r *http.Request, to vm.ID) {
 	from := r.RemoteAddr
-	ip, _, err := net.SplitHostPort(from)
-	if err != nil || !rc.IsMember(ip) {
-		rc.reportRefusal(r, from, UnknownSender)
-		w.WriteHeader(http.StatusForbidden)
-		return
-	}
-	if to != rc.Self {
-		rc.reportRefusal(r, from, OtherNode)
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
 	defer rc.openCalls.Add(-1)
-	if rc.openCalls.Add(1) > maxOpenCalls {
-		rc.reportRefusal(r, from, TooManyCalls)
-		refuse(w)
-		return
-	}
-	if !rc.CanServe() {
-		rc.reportRefusal(r, from, NotReady)
-		refuse(w)
+	openCalls := rc.openCalls.Add(1)
+	if reason := rc.refusal(from, to, openCalls); reason != "" {
+		rc.reportRefusal(r, from, reason)
+		rc.refuse(w, reason)
 		return
 	}
 	if rc.OnCall != nil {
 		rc.OnCall(r, from)
 	}
-	rc.writeState(w)
 	if caller := r.Header.Get(headerCaller); caller != "" {
 		r.RemoteAddr = net.JoinHostPort(caller, "0")
 	}
@@ -122,9 +98,32 @@
 	if rc.Prepare != nil {
 		r = rc.Prepare(r)
 	}
-	if !rc.Handler.ServeRelayed(w, r) {
-		rc.reportRefusal(r, from, NoPath)
-		refuse(w)
+	failure := rc.Handler.ServeRelayed(&responseWriter{ResponseWriter: w, receiver: rc}, r)
+	switch {
+	case failure == nil:
+	case failure.IsForAnotherNode():
+		rc.reportRefusal(r, from, Refusal(failure.Reason))
+		rc.refuse(w, Refusal(failure.Reason))
+	default:
+		rc.writeFailure(w, failure, entry.RetryDelay(failure))
+	}
+}
+
+// refusal returns why this node does not take a call from the given address, or "". openCalls
+// counts the relayed calls in progress, this one included.
+func (rc *Receiver) refusal(from string, to vm.ID, openCalls int64) Refusal {
+	ip, _, err := net.SplitHostPort(from)
+	switch {
+	case err != nil || !rc.IsMember(ip):
+		return UnknownSender
+	case to != rc.Self:
+		return OtherNode
+	case openCalls > maxOpenCalls:
+		return TooManyCalls
+	case !rc.CanServe():
+		return NotReady
+	default:
+		return ""
 	}
 }
 
@@ -133,10 +132,3 @@
 		rc.OnRefusal(r, from, reason)
 	}
 }
-
-// refuse writes the response to a call that this node has not started.
-func refuse(w http.ResponseWriter) {
-	w.Header().Set(headerRefused, refusedBeforeStart)
-	w.Header().Set("Retry-After", retryAfterSeconds)
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
--- a/wire/protocol.go
+++ b/wire/protocol.go
@@ -12,8 +12,8 @@
 
 // Protocol names the headers and the path used between targets and the load
 // balancer. An empty Protocol means DefaultProtocol. LoadHeader, ColdHeader,
-// ExpectHeader, IDHeader, KeyHeader, TenantHeader, LeavingHeader, LimitHeader and ProofHeader are optional;
-// empty disables the feature.
+// ExpectHeader, IDHeader, KeyHeader, TenantHeader, LeavingHeader, LimitHeader, ProofHeader, OutcomeHeader,
+// ReasonHeader and RetryHeader are optional; empty disables the feature.
 type Protocol struct {
 	// InstanceHeader identifies the target's process on each response.
 	InstanceHeader string
@@ -55,6 +55,10 @@
 	// ProofHeader is present on each response made by a target itself; a
 	// successful response (2xx) without it is rejected.
 	ProofHeader string
+	// OutcomeHeader carries on each response of another node how the call ended there, with
+	// the reason in ReasonHeader and the delay advised to the caller, in milliseconds, in
+	// RetryHeader. A response without an outcome is not genuine.
+	OutcomeHeader, ReasonHeader, RetryHeader string
 	// HeaderPrefixes are the prefixes of the names of all headers of the protocol. A
 	// header of a response that has one and is not known is reported. Empty ones are
 	// ignored.
@@ -241,6 +245,9 @@
 // and was made by a target, according to ProofHeader. Only a successful response
 // needs a proof.
 func (p Protocol) IsGenuine(sent http.Header, resp *http.Response) bool {
+	if !p.statesOutcome(resp) {
+		return false
+	}
 	if p.IDHeader != "" && !p.idMatches(sent, resp) {
 		return false
 	}
@@ -262,4 +269,7 @@
 	h.Del(p.LoadHeader)
 	h.Del(p.RefusalHeader)
 	h.Del(p.LeavingHeader)
+	h.Del(p.OutcomeHeader)
+	h.Del(p.ReasonHeader)
+	h.Del(p.RetryHeader)
 }
