Keep targets from setting the headers of responses between nodes

A target that wrote the headers by which nodes refuse calls was taken for a node when its response came through another one: an unsafe call ran at 4 targets, and its caller was told that it had not run. The receiver copied a target's headers into its response to the sender. It now removes all headers of the protocol between nodes and then states its own. TestTargetRepliesAsNodeOfFleet failed before with status 503 and 4 targets.

--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -85,6 +85,30 @@
 	}
 }
 
+// Guards against a target whose response looks like that of a node: a call that it ran is then
+// sent to another target, or reported as not run.
+func TestTargetRepliesAsNodeOfFleet(t *testing.T) {
+	f := newTestFleet(t, profile.Profile{CallTimeout: 5 * time.Second, AttemptTimeout: time.Second}, 4, 4)
+	f.nodes[0].path.set(true)
+	f.respond = func(w http.ResponseWriter, _ *http.Request) {
+		for _, name := range ownHeaders {
+			w.Header().Set(name, refusedBeforeStart)
+		}
+		w.Header().Set(headerOutcome, "not-run")
+		w.Header().Set(entry.HeaderExtraAttempts, "7")
+		w.WriteHeader(http.StatusCreated)
+	}
+	w := f.call(0, "call")
+	if w.Code != http.StatusCreated || f.runCount("call") != 1 {
+		t.Errorf("call: got status %d and %d targets that ran it, want 201 and 1", w.Code, f.runCount("call"))
+	}
+	for _, name := range append(ownHeaders, entry.HeaderExtraAttempts) {
+		if got := w.Header().Get(name); got != "" {
+			t.Errorf("header %s at the caller: got %q, want none", name, got)
+		}
+	}
+}
+
 // Guards against a response between nodes that states no outcome, such as that of a server which
 // reads the request in part, as the response to the caller.
 func TestResponseWithoutOutcomeReachesCaller(t *testing.T) {
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -30,6 +30,9 @@
 	probePath = "/relay"
 )
 
+// ownHeaders are the headers of responses between nodes, which no target sets.
+var ownHeaders = []string{headerInstance, headerState, headerInFlight, headerRefused, headerOutcome, headerReason, headerRetry}
+
 // protocol returns the protocol between nodes. The remaining time of a call is in the header
 // in which the receiving node expects it from callers.
 func protocol(deadlineHeader string) wire.Protocol {
--- a/relay/response.go
+++ b/relay/response.go
@@ -10,8 +10,8 @@
 	"github.com/apricotmount/apricotmount/outcome"
 )
 
-// responseWriter writes a response to another node. Its headers state how the
-// call ended.
+// responseWriter writes a response to another node. Its headers state what a node states of the
+// call, whatever a target wrote under their names.
 type responseWriter struct {
 	http.ResponseWriter
 	receiver *Receiver
@@ -37,9 +37,13 @@
 	}
 }
 
-// writeState sets the headers that describe this node and how a call ended.
+// writeState sets the headers that describe this node and how a call ended, and removes all
+// others of the protocol.
 func (rc *Receiver) writeState(w http.ResponseWriter, o outcome.Outcome) {
 	h := w.Header()
+	for _, name := range ownHeaders {
+		h.Del(name)
+	}
 	h.Set(headerInstance, rc.Instance)
 	h.Set(headerState, stateLive)
 	h.Set(headerInFlight, strconv.FormatInt(rc.openCalls.Load(), 10))
