Count each call and each of its copies once in the fleet's sum of repeats

A forwarded call added its tokens at the sender and again at the receiver; a second copy through another node was paid from a budget of the relay, not of the service; and a copy forwarded after a target had refused the first was not paid for at all.

A call now adds its tokens at one node, which the request states, and every arrival beyond the first takes a token of the service at the node that causes it.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -8,8 +8,8 @@
 )
 
 // attempt sends the call to a reserved target. On a failure it finishes the
-// reservation immediately.
-func (r *run) attempt(ctx context.Context, reservation target.Reservation, maxExtraAttempts int) (Response, *AttemptFailure) {
+// reservation immediately. isRepeat states that an earlier attempt may have run.
+func (r *run) attempt(ctx context.Context, reservation target.Reservation, maxExtraAttempts int, isRepeat bool) (Response, *AttemptFailure) {
 	headerDeadline := earliest(r.call.Deadline, time.Now().Add(r.call.Profile.AttemptTimeout))
 	if reservation.IsCold {
 		headerDeadline = earliest(headerDeadline, reservation.LeaseDeadline)
@@ -19,6 +19,7 @@
 		HeaderDeadline:    headerDeadline,
 		Deadline:          r.call.Deadline.Add(-layerOverhead),
 		MaxExtraAttempts:  maxExtraAttempts,
+		IsRepeat:          isRepeat,
 		RequireRecentRead: !r.call.Profile.Idempotent,
 		MaySend:           func() bool { return r.maySend(reservation) },
 	})
@@ -47,7 +48,9 @@
 func (r *run) recordFailure(ctx context.Context, reservation target.Reservation, f *AttemptFailure) {
 	r.notifyDecision(Failed, reservation, f)
 	r.recordPossibleRun(f)
-	r.hasReached = r.hasReached || f.Written
+	if f.Written {
+		r.markReached()
+	}
 	if f.Written && f.Result == target.Broken {
 		r.suspect.recordLoss(ctx, reservation)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -25,6 +25,8 @@
 	// MaxExtraAttempts is the number of extra attempts that the layers below may
 	// make.
 	MaxExtraAttempts int
+	// IsRepeat reports whether an earlier copy of the call may have run.
+	IsRepeat bool
 	// RequireRecentRead requires a connection that is new or has just received
 	// data. It is set for a call that cannot be retried after a lost response.
 	RequireRecentRead bool
@@ -112,6 +114,11 @@
 	// IsRelayed reports whether another node has sent the call, which is not sent through a
 	// third one.
 	IsRelayed bool
+	// IsCounted reports whether the call has added its tokens to the budgets of another node.
+	IsCounted bool
+	// RepeatBudget, if set, pays for copies after one that may have run, in place of the
+	// budget of the service.
+	RepeatBudget *retry.Budget
 }
 
 // LoadQuerier queries the load of targets.
@@ -222,6 +229,8 @@
 	// Allowance is what is left of the call's allowance. If CanForward, the next attempt is
 	// not counted in it.
 	Allowance retry.Allowance
+	// IsCounted reports whether the call has added its tokens to the budgets of a node.
+	IsCounted bool
 	// AdvisedRetry is the delay that another node has chosen for this caller, which takes the
 	// place of RetryAfter and EarliestRetry; zero if unknown.
 	AdvisedRetry time.Duration
@@ -247,14 +256,18 @@
 	if !now.Before(c.Deadline) {
 		return nil, &CallFailure{Outcome: outcome.NotRun, Reason: outcome.DeadlinePassed}
 	}
-	svc.earnTokens()
+	// The tokens of a call without a path are those of the node that serves it.
+	isParted := svc.isPathLost()
+	if !isParted && !c.IsRelayed && !c.IsCounted {
+		svc.earnTokens()
+	}
 	suspect, fail := d.admitSuspect(c)
 	if fail != nil {
 		return nil, fail
 	}
-	if svc.isPathLost() {
+	if isParted {
 		suspect.leave()
-		return nil, &CallFailure{Outcome: outcome.NotRun, Reason: outcome.PathLost, CanForward: !c.IsRelayed, Allowance: c.Allowance}
+		return nil, &CallFailure{Outcome: outcome.NotRun, Reason: outcome.PathLost, CanForward: !c.IsRelayed, Allowance: c.Allowance, IsCounted: c.IsCounted}
 	}
 	permit, reason := svc.Gate.Acquire(ctx, admission.Request{
 		Urgency: c.Profile.Urgency, Caller: c.Caller, Deadline: c.Deadline, MaxWait: c.Profile.QueueTimeout,
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -87,7 +87,6 @@
 	}
 	r.dispatcher.countExtraAttempt(outcome.RetryServerFailed)
 	r.mayHaveRun = true
-	r.hasReached = true
 	r.runCount++
 	r.suspect.recordCompletion()
 	resp.Response.Discard()
@@ -171,7 +170,7 @@
 		r.dispatcher.countExtraAttempt(outcome.ForgoneDeadline)
 	case r.allowance.Remaining() < 1:
 		r.dispatcher.countExtraAttempt(outcome.ForgoneNoAllowance)
-	case !r.service.spendRetryToken():
+	case !r.spendRepeatToken():
 		r.dispatcher.countExtraAttempt(outcome.ForgoneNoTokens)
 	default:
 		return r.allowance.Spend()
@@ -179,6 +178,15 @@
 	return false
 }
 
+// spendRepeatToken spends a token for a copy after one that has reached a target. It reports
+// whether there was one.
+func (r *run) spendRepeatToken() bool {
+	if r.call.RepeatBudget != nil {
+		return r.call.RepeatBudget.Spend()
+	}
+	return r.service.spendRetryToken()
+}
+
 // recordPossibleRun records that a failed attempt may have run at its target.
 func (r *run) recordPossibleRun(f *AttemptFailure) {
 	if !f.Written || f.Result == target.Refused {
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -18,7 +18,7 @@
 	h := r.scheduleHedge(ctx, cancel, reservation)
 	stopWatching := r.cancelOnPathLoss(cancel)
 	r.hasAttempted = true
-	firstResponse, firstFailure := r.attempt(firstCtx, reservation, r.allowance.DownstreamLimit())
+	firstResponse, firstFailure := r.attempt(firstCtx, reservation, r.allowance.DownstreamLimit(), r.mayHaveRun)
 	stopWatching()
 	resp, failure := r.resolveHedge(ctx, h, reservation, firstResponse, firstFailure)
 	if h.hasSpentToken() && !r.allowance.Spend() {
@@ -179,7 +179,7 @@
 			return target.Reservation{}, nil, nil
 		}
 		h.run.notifyDecision(Hedged, reservation, nil)
-		response, failure = h.run.attempt(ctx, reservation, 0)
+		response, failure = h.run.attempt(ctx, reservation, 0, true)
 		if failure == nil || failure.Result != target.Refused || !h.run.dispatcher.spendRefusalRetryToken(h.run.service) {
 			return reservation, response, failure
 		}
--- a/dispatch/path.go
+++ b/dispatch/path.go
@@ -22,7 +22,7 @@
 }
 
 // canForward reports whether a call that ends for the given reason may be sent through
-// another node. It charges the retry if a copy may have run.
+// another node. It charges the copy if an earlier one has reached a target.
 func (r *run) canForward(reason outcome.Reason) bool {
 	// A call that reached none of several targets need not wait until the path is known to
 	// be lost.
@@ -30,5 +30,12 @@
 	if !isParted || r.call.IsRelayed || !r.call.BodyReplayable && r.hasAttempted {
 		return false
 	}
-	return !r.mayHaveRun || r.chargeRetry()
+	switch {
+	case r.mayHaveRun:
+		return r.chargeRetry()
+	case r.hasReached:
+		return r.spendRepeatToken()
+	default:
+		return true
+	}
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -38,6 +38,8 @@
 	hasAttempted bool
 	// hasReached reports whether an attempt has reached a target, which ran or refused it.
 	hasReached bool
+	// hasEarned reports whether a relayed call has added its tokens to the budgets.
+	hasEarned bool
 	// hasTriedCanary reports whether it was decided if the call goes to a new version.
 	hasTriedCanary bool
 	// mayHaveRun reports whether any attempt may have run.
@@ -104,6 +106,9 @@
 		r.leaveTurnQueue()
 		r.notifyDecision(Placed, reservation, nil)
 		resp, failure := r.attemptWithHedge(ctx, reservation)
+		if resp != nil {
+			r.markReached()
+		}
 		if resp != nil && !r.retryServerFailure(resp) {
 			return resp, nil
 		}
@@ -185,12 +190,22 @@
 func (r *run) callFailure(reason outcome.Reason) *CallFailure {
 	canForward := r.canForward(reason)
 	if r.mayHaveRun {
-		return &CallFailure{Outcome: outcome.Unknown, Reason: unknownReason(reason, r.lastLossReason), ExtraAttempts: r.allowance.Spent(), HasReached: r.hasReached, CanForward: canForward, Allowance: r.allowance}
+		return &CallFailure{Outcome: outcome.Unknown, Reason: unknownReason(reason, r.lastLossReason), ExtraAttempts: r.allowance.Spent(), HasReached: r.hasReached, CanForward: canForward, Allowance: r.allowance, IsCounted: true}
 	}
 	if r.call.Claim != nil {
 		r.call.Claim.Release()
 	}
-	return &CallFailure{Outcome: outcome.NotRun, Reason: reason, ExtraAttempts: r.allowance.Spent(), HasReached: r.hasReached, CanForward: canForward, Allowance: r.allowance}
+	return &CallFailure{Outcome: outcome.NotRun, Reason: reason, ExtraAttempts: r.allowance.Spent(), HasReached: r.hasReached, CanForward: canForward, Allowance: r.allowance, IsCounted: true}
+}
+
+// markReached records that an attempt has reached a target. A relayed call adds its tokens to the
+// budgets then, if it has not done so at another node: until then another one may serve it.
+func (r *run) markReached() {
+	r.hasReached = true
+	if r.call.IsRelayed && !r.call.IsCounted && !r.hasEarned {
+		r.hasEarned = true
+		r.service.earnTokens()
+	}
 }
 
 // checkFailure checks that a call reported as not run had no attempt that may have
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -22,7 +22,8 @@
 	next, route := h.Forwarder.Forward(in.route, r)
 	call := *in.call
 	call.Profile = route.Profile
-	call.Allowance = former.Allowance
+	call.Allowance, call.IsCounted = former.Allowance, former.IsCounted
+	call.RepeatBudget = in.route.Dispatch.ExtraAttemptBudget
 	call.Claim, call.Identity = nil, nil
 	in.route, in.call = route, &call
 	failure := next.execute(w, r, in, arrivedAt)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -64,8 +64,8 @@
 	// OmitProductHeaders omits the product's own headers from requests to targets and
 	// responses to callers.
 	OmitProductHeaders bool
-	// StateAttempts states in requests how many extra attempts the receiver may make, also
-	// with OmitProductHeaders.
+	// StateAttempts states in requests how many extra attempts the receiver may make and
+	// whether the call was counted, also with OmitProductHeaders.
 	StateAttempts bool
 }
 
@@ -163,7 +163,7 @@
 func (h *Handler) execute(w http.ResponseWriter, r *http.Request, in inboundCall, arrivedAt time.Time) *dispatch.CallFailure {
 	ctx, cancel := context.WithDeadline(r.Context(), in.call.Deadline)
 	defer cancel()
-	sender := &callSender{handler: h, inbound: r, body: in.body, w: w, hops: in.hops}
+	sender := &callSender{handler: h, inbound: r, body: in.body, w: w, hops: in.hops, isCounted: in.call.IsCounted}
 	callResponse, callFailure := h.Dispatcher.Do(ctx, in.route.Dispatch, in.call, sender)
 	if callFailure != nil {
 		return callFailure
--- a/entry/header.go
+++ b/entry/header.go
@@ -25,6 +25,8 @@
 	// HeaderMaxExtraAttempts is the number of extra attempts that the call chain may
 	// still make.
 	HeaderMaxExtraAttempts = "Apricot-Further-Attempts"
+	// HeaderCounted states that the call has added its tokens to the budgets of another node.
+	HeaderCounted = "Apricot-Counted"
 	// HeaderExtraAttempts is the number of extra attempts made for this response.
 	HeaderExtraAttempts = "Apricot-Further-Spent"
 	// HeaderWaitMicros is the time that the call waited in the node, in
@@ -34,6 +36,9 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
+// countedValue is the value of HeaderCounted.
+const countedValue = "yes"
+
 // maxHops is the number of passes through the load balancer at which a call is
 // rejected.
 const maxHops = 7
--- a/entry/request.go
+++ b/entry/request.go
@@ -77,6 +77,7 @@
 		Allowance:      retry.NewAllowance(maxExtraAttempts(r, route.Profile.MaxRetries, isRelayed)),
 		BodyReplayable: b.isReplayable(),
 		IsRelayed:      isRelayed,
+		IsCounted:      isRelayed && r.Header.Get(HeaderCounted) != "",
 	}
 	call.Identity = &identity{caller: h.callerIdentity(r), inbound: r, body: b}
 	call.Claim, failure = h.claim(r, route, b)
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -29,6 +29,8 @@
 	body    *body
 	w       http.ResponseWriter
 	hops    int
+	// isCounted is that of the call.
+	isCounted bool
 }
 
 // Send makes one attempt at a target.
@@ -163,6 +165,11 @@
 	if expect := s.handler.protocol().ExpectHeader; expect != "" {
 		header.Set(expect, string(a.Target.ID))
 	}
+	header.Del(HeaderCounted)
+	header.Del(HeaderMaxExtraAttempts)
+	if s.handler.Settings.StateAttempts && (s.isCounted || a.IsRepeat) {
+		header.Set(HeaderCounted, countedValue)
+	}
 	if s.handler.Settings.StateAttempts || !s.handler.Settings.OmitProductHeaders {
 		header.Set(HeaderMaxExtraAttempts, strconv.Itoa(a.MaxExtraAttempts))
 	}
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -202,6 +202,13 @@
 	return len(f.runs[id])
 }
 
+// arrivalCount returns the number of attempts that have reached targets.
+func (f *testFleet) arrivalCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.arrivals
+}
+
 // call sends a call to a node and returns the response.
 func (f *testFleet) call(node int, id string) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/apricotmount/apricotmount/entry"
 	"github.com/apricotmount/apricotmount/profile"
+	"github.com/apricotmount/apricotmount/retry"
 	"github.com/apricotmount/apricotmount/vm"
 )
 
@@ -124,3 +125,37 @@
 		}
 	}
 }
+
+// Guards against calls that add tokens to the budgets of two nodes, and against copies that
+// no budget pays for.
+func TestForwardedCallsExceedRetryBudgetOfFleet(t *testing.T) {
+	const callCount, tokensPerCall = 200, 0.5
+	for _, tt := range []struct {
+		name      string
+		isRefused bool
+	}{{"responses lost", false}, {"targets refuse", true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newTestFleet(t, profile.Profile{Idempotent: true, CallTimeout: 5 * time.Second, AttemptTimeout: time.Second, MaxRetries: 3}, 4, 12)
+			f.respond = loseResponse
+			for _, n := range f.nodes {
+				n.service.ExtraAttemptBudget.SetSettings(retry.Settings{TokensPerCall: tokensPerCall, Burst: 1000})
+			}
+			f.isRefused = func() bool {
+				// The path is lost while a target refuses, or before the call.
+				f.nodes[0].path.set(true)
+				return tt.isRefused
+			}
+			for i := range callCount {
+				f.nodes[0].path.set(i%2 == 0)
+				f.call(0, fmt.Sprint("call-", i))
+			}
+			arrivals := f.arrivalCount()
+			if got, want := arrivals-callCount, callCount*tokensPerCall; float64(got) > want {
+				t.Errorf("arrivals at targets beyond the first of each call: got %d, want at most %g", got, want)
+			}
+			if arrivals < callCount {
+				t.Errorf("arrivals: got %d, want at least %d", arrivals, callCount)
+			}
+		})
+	}
+}
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -35,10 +35,6 @@
 	// maxReadAge is the time since data was last received on a connection from which it is
 	// replaced: it may have gone silent.
 	maxReadAge = 500 * time.Millisecond
-	// retryTokensPerCall and retryBurst bound the calls that are sent again because the
-	// node that they were sent to is lost.
-	retryTokensPerCall = 0.1
-	retryBurst         = 4
 )
 
 // Sender sends calls through other nodes. It implements entry.Forwarder, entry.Pools and
@@ -78,7 +74,7 @@
 	s.service = &dispatch.Service{
 		Table:       target.NewTable(service.Service{Name: nodesService, Slots: slotsPerNode}, target.Settings{Zone: cfg.Zone, ListIsAuthoritative: true, Checks: cfg.Dispatcher.Checks}),
 		Gate:        admission.NewPool(0).AddGate(queueLimit),
-		RetryBudget: &retry.Budget{Settings: retry.Settings{TokensPerCall: retryTokensPerCall, Burst: retryBurst}},
+		RetryBudget: &retry.Budget{},
 		HedgeBudget: &retry.Budget{},
 		Latencies:   &retry.LatencyWindow{},
 	}
