Take headers between nodes that are as long as callers may send

A call with 100 KiB of headers, which the configuration allows, ended with status 431 if it went through another node: the port between nodes took 64 KiB. The port now takes what the callers' port takes, and the sender's own headers.

--- a/gateway/node.go
+++ b/gateway/node.go
@@ -189,7 +189,7 @@
 	}{
 		{n.settings.CallerAddress, callers},
 		{n.settings.ReadinessAddress, newInnerServer(http.HandlerFunc(n.serveReadiness))},
-		{string(n.settings.PeerAddress), newInnerServer(n.receiver.Wrap(peerMux))},
+		{string(n.settings.PeerAddress), newPeerServer(n.receiver.Wrap(peerMux))},
 		{n.settings.MetricsAddress, newInnerServer(metricsMux)},
 	} {
 		if err := n.listen(s.address, s.server); err != nil {
--- a/gateway/parted_test.go
+++ b/gateway/parted_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -223,3 +224,26 @@
 		c.waitFor(2*time.Second, "a node that serves again", func() bool { status, _ := c.get(i, "/x/1"); return status == http.StatusOK })
 	}
 }
+
+// Guards against headers that callers may send and that are too long for the port between nodes:
+// a call that goes through another node then ends with status 431.
+func TestHeadersOfCallAreTooLongForOtherNode(t *testing.T) {
+	c, paths := newPartableCluster(t, 2, 8)
+	paths[0].setMode(platformtest.LinkClosed, true)
+	c.waitFor(waitTimeout, "calls that go through the other node", func() bool { status, _ := c.get(0, "/x/1"); return status == http.StatusOK })
+	r, err := http.NewRequest(http.MethodGet, "http://"+c.settings[0].CallerAddress+"/x/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set(platform.RequestIDHeader, "long")
+	r.Header.Set("Long", strings.Repeat("x", 100<<10))
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("status: got %d, want 200", resp.StatusCode)
+	}
+}
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -20,6 +20,9 @@
 	// other ports.
 	innerHeaderTimeout  = 5 * time.Second
 	maxInnerHeaderBytes = 64 << 10
+	// maxPeerHeaderBytes bounds those of a request to the port between nodes, which carries
+	// whatever callers may send and the headers of the sender.
+	maxPeerHeaderBytes = http.DefaultMaxHeaderBytes + maxInnerHeaderBytes
 )
 
 // newInnerServer returns a server for a port that callers do not use.
@@ -27,6 +30,13 @@
 	return &http.Server{Handler: h, ErrorLog: discardLogger, ReadHeaderTimeout: innerHeaderTimeout, MaxHeaderBytes: maxInnerHeaderBytes}
 }
 
+// newPeerServer returns a server for the port between nodes.
+func newPeerServer(h http.Handler) *http.Server {
+	s := newInnerServer(h)
+	s.MaxHeaderBytes = maxPeerHeaderBytes
+	return s
+}
+
 // listen opens a port and serves it in the background.
 func (n *Node) listen(address string, settings *http.Server) error {
 	s, err := listener.Serve(address, settings)
