Decode and log a malformed order once

What callers saw: one malformed order among the operator's records was decoded, and logged with its whole text, each time any record changed.

Why it works: the state keeps the decoded order of each key with its position, logs a malformed one when it is decoded first, and not again if its writer repeats the value. The log has the key and the beginning of the error.

--- a/inventory/operator.go
+++ b/inventory/operator.go
@@ -1,6 +1,8 @@
 package inventory
 
 import (
+	"strings"
+
 	"go.uber.org/zap"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,6 +39,15 @@
 	event.PlanUnreadable.Log(s.logger, zap.Uint64("offset", uint64(r.Offset)), zap.Uint64("epoch", uint64(r.Epoch)), zap.Error(err))
 }
 
+// maxErrorBytes is the maximum length of an error in the log: it may quote a record.
+const maxErrorBytes = 512
+
+// errorField returns a log field with the beginning of an error's text.
+func errorField(err error) zap.Field {
+	text := err.Error()
+	return zap.String("error", strings.ToValidUTF8(text[:min(len(text), maxErrorBytes)], ""))
+}
+
 // applyOperatorRecord applies a changed record of the operator's topic. s.mu must be held.
 func (s *State) applyOperatorRecord(r replica.Record, source string) {
 	if z, ok := s.decoder.WithdrawnZone(r.Key); ok {
@@ -67,19 +78,47 @@
 	return s.decoder.DecodePlan(r.Value)
 }
 
+// decodedOrder is the order in a record, or the reason why there is none.
+type decodedOrder struct {
+	epoch  replica.Epoch
+	offset replica.Offset
+	order  rollout.Order
+	err    error
+}
+
 // addOrder adds the order in a record of the operator to a snapshot. s.mu must be held.
 func (s *State) addOrder(r replica.Record, snap *Snapshot) {
-	if !s.decoder.IsRolloutKey(r.Key) || r.Deleted {
+	if !s.decoder.IsRolloutKey(r.Key) {
 		return
 	}
-	o, err := s.decoder.DecodeRollout(r.Key, r.Value)
-	if err != nil {
-		event.RolloutInvalid.Log(s.logger, zap.String("key", r.Key), zap.Error(err))
+	if r.Deleted {
+		delete(s.decodedOrders, r.Key)
+		return
+	}
+	d := s.decodedOrderOf(r)
+	if d.err != nil {
 		return
 	}
-	o.ID = rollout.OrderID{Offset: uint64(r.Offset), ValueHash: xxhash.Sum64(r.Value)}
 	if snap.Orders == nil {
 		snap.Orders = map[service.Name]*rollout.Order{}
 	}
-	snap.Orders[o.Service] = &o
+	snap.Orders[d.order.Service] = &d.order
+}
+
+// decodedOrderOf decodes the order in a record, unless that was done before. A malformed one
+// is logged, once if its writer repeats it. s.mu must be held.
+func (s *State) decodedOrderOf(r replica.Record) decodedOrder {
+	former, known := s.decodedOrders[r.Key]
+	if known && former.epoch == r.Epoch && former.offset == r.Offset {
+		return former
+	}
+	d := decodedOrder{epoch: r.Epoch, offset: r.Offset}
+	d.order, d.err = s.decoder.DecodeRollout(r.Key, r.Value)
+	d.order.ID = rollout.OrderID{Offset: uint64(r.Offset), ValueHash: xxhash.Sum64(r.Value)}
+	isRepeated := known && former.err != nil && former.order.ID.ValueHash == d.order.ID.ValueHash
+	if d.err != nil && !isRepeated {
+		event.RolloutInvalid.Log(s.logger, zap.String("key", r.Key), errorField(d.err))
+	}
+	s.decodedOrders[r.Key] = d
+	return d
 }
--- a/inventory/state.go
+++ b/inventory/state.go
@@ -37,6 +37,8 @@
 	plan     *Plan
 	// decodedPlan is the plan of the last record that validatePlan accepted.
 	decodedPlan decodedPlan
+	// decodedOrders caches the decoded record of each order by key.
+	decodedOrders map[string]decodedOrder
 	// mismatchSince is when the copy of each topic began to differ from that of a
 	// reader; zero if it does not.
 	mismatchSince [replica.TopicCount]time.Time
@@ -58,7 +60,7 @@
 
 // NewState returns the state of a node that has read nothing yet.
 func NewState(d Decoder, self vm.VM, logger *zap.Logger) *State {
-	s := &State{revision: 1, decoder: d, self: self, logger: logger, decodedTargets: map[string]TargetRecord{}, retainedUntil: map[string]time.Time{}, nodes: map[vm.ID]listedNode{}}
+	s := &State{revision: 1, decoder: d, self: self, logger: logger, decodedTargets: map[string]TargetRecord{}, decodedOrders: map[string]decodedOrder{}, retainedUntil: map[string]time.Time{}, nodes: map[vm.ID]listedNode{}}
 	for t := range replica.TopicCount {
 		s.copies[t].Rules = d.Rules(t)
 	}
