Keep a malformed plan from making the reader list the store without a pause

What callers saw: after a restore of the store, a malformed plan made the reading node list the operator's topic without a pause, for as long as the plan was there. The plan was also logged without its key, with its whole text, and again at each listing.

Cause: the plan of before the restore stays in force, as it should, but counted as not written again, and while any record does, the reader lists the topic. A record that is listed again was also validated and logged again.

Evidence: TestMalformedPlanInRestoredStoreEndsListings and TestMalformedPlanIsLoggedOnce failed before: a need to list once more after the time for writing again, 22 plans decoded instead of 2, 22 lines instead of one.

Why it works: a copy keeps the position of the last invalid record of each key. A key with an invalid value in the newest epoch was read in it, and the same record is not validated again. The plan is logged with its key, unless its writer repeats the value.

--- a/inventory/malformed_test.go
+++ b/inventory/malformed_test.go
@@ -17,10 +17,10 @@
 )
 
 // orderDecoder is a textDecoder that also decodes orders: the service is in the key, and the
-// version is the value, which must be short. It counts the decoded orders.
+// version is the value, which must be short. It counts the decoded values.
 type orderDecoder struct {
 	textDecoder
-	orderCount int
+	orderCount, planCount int
 }
 
 func (d *orderDecoder) IsRolloutKey(key string) bool { return strings.HasPrefix(key, "order/") }
@@ -33,6 +33,12 @@
 	return rollout.Order{Service: service.Name(strings.TrimPrefix(key, "order/")), Version: rollout.Version(value)}, nil
 }
 
+func (d *orderDecoder) DecodePlan(value []byte) (*Plan, error) {
+	d.planCount++
+	p, err := d.textDecoder.DecodePlan(value)
+	return p, eris.Wrapf(err, "plan %q", value)
+}
+
 // newLoggedState returns a state and the log lines that it writes.
 func newLoggedState(d Decoder) (*State, *observer.ObservedLogs) {
 	core, logs := observer.New(zapcore.DebugLevel)
@@ -94,6 +100,56 @@
 	}
 }
 
+// A malformed plan was logged without its key, in full, and again at each listing.
+func TestMalformedPlanIsLoggedOnce(t *testing.T) {
+	d := &orderDecoder{}
+	s, logs := newLoggedState(d)
+	now := time.Now()
+	malformed := newRecord(replica.Operator, "plan", strings.Repeat("x", 1<<20), 2)
+	s.ApplyRecords(replica.Operator, []replica.Record{newRecord(replica.Operator, "plan", "plan 3", 1), malformed}, "test", now)
+	for range 20 {
+		s.ApplyListing(replica.Operator, replica.Listing{Records: []replica.Record{malformed}, EndOffset: 3}, "test", now)
+	}
+	if got := s.Snapshot(now).Plan; got == nil || got.Version != 3 {
+		t.Errorf("plan: got %v, want version 3", got)
+	}
+	if d.planCount != 2 {
+		t.Errorf("decoded plans: got %d, want 2", d.planCount)
+	}
+	// The writer repeats the record.
+	malformed.Offset = 4
+	s.ApplyRecords(replica.Operator, []replica.Record{malformed}, "test", now)
+	checkLoggedOnce(t, logs, "plan-unreadable", "plan")
+}
+
+// With a malformed plan in a restored store, the plan of before counted as not written again,
+// and the reader listed the store without a pause for as long as the plan was there.
+func TestMalformedPlanInRestoredStoreEndsListings(t *testing.T) {
+	s, _ := newLoggedState(&orderDecoder{})
+	now := time.Now()
+	good := newRecord(replica.Operator, "plan", "plan 3", 1)
+	good.Epoch = 1
+	s.ApplyListing(replica.Operator, replica.Listing{Records: []replica.Record{good}, EndOffset: 2, Epoch: 1}, "test", now)
+	malformed := newRecord(replica.Operator, "plan", "malformed", 1)
+	malformed.Epoch = 2
+	listing := replica.Listing{Records: []replica.Record{malformed}, EndOffset: 2, Epoch: 2}
+	s.ApplyListing(replica.Operator, listing, "test", now)
+	now = now.Add(2 * carryOverPeriods[replica.Operator])
+	s.ApplyListing(replica.Operator, listing, "test", now)
+	if s.NeedsListing(replica.Operator, now) {
+		t.Error("after the time for writing again: got a need to list once more, want none")
+	}
+	if got := s.Snapshot(now).Plan; got == nil || got.Version != 3 {
+		t.Errorf("plan: got %v, want version 3", got)
+	}
+	good = newRecord(replica.Operator, "plan", "plan 4", 2)
+	good.Epoch = 2
+	s.ApplyRecords(replica.Operator, []replica.Record{good}, "test", now)
+	if got := s.Snapshot(now).Plan; got == nil || got.Version != 4 {
+		t.Errorf("plan written again: got %v, want version 4", got)
+	}
+}
+
 // A malformed record of a target is logged once, also if its writer repeats it.
 func TestMalformedTargetIsLoggedOnce(t *testing.T) {
 	d := textDecoder{}
--- a/inventory/operator.go
+++ b/inventory/operator.go
@@ -34,9 +34,15 @@
 	return nil
 }
 
-// logUnreadablePlan logs a plan that was left out.
+// logUnreadablePlan logs a plan that was left out, once if its writer repeats it. s.mu must
+// be held.
 func (s *State) logUnreadablePlan(r replica.Record, err error) {
-	event.PlanUnreadable.Log(s.logger, zap.Uint64("offset", uint64(r.Offset)), zap.Uint64("epoch", uint64(r.Epoch)), zap.Error(err))
+	hash := xxhash.Sum64(r.Value)
+	if hash == s.unreadablePlanHash {
+		return
+	}
+	s.unreadablePlanHash = hash
+	event.PlanUnreadable.Log(s.logger, zap.String("key", r.Key), zap.Uint64("offset", uint64(r.Offset)), zap.Uint64("epoch", uint64(r.Epoch)), errorField(err))
 }
 
 // maxErrorBytes is the maximum length of an error in the log: it may quote a record.
--- a/inventory/state.go
+++ b/inventory/state.go
@@ -37,6 +37,8 @@
 	plan     *Plan
 	// decodedPlan is the plan of the last record that validatePlan accepted.
 	decodedPlan decodedPlan
+	// unreadablePlanHash is the hash of the last plan that was logged as unreadable.
+	unreadablePlanHash uint64
 	// decodedOrders caches the decoded record of each order by key.
 	decodedOrders map[string]decodedOrder
 	// mismatchSince is when the copy of each topic began to differ from that of a
--- a/replica/epoch.go
+++ b/replica/epoch.go
@@ -39,6 +39,8 @@
 	return false
 }
 
+// isCarriedOver reports whether a key was last read in an earlier epoch. A key that has an
+// invalid value in the newest epoch was read in it.
 func (c *Copy) isCarriedOver(k keyState) bool {
-	return !k.effective().Deleted && k.latest.Epoch < c.epoch
+	return !k.effective().Deleted && k.latest.Epoch < c.epoch && c.invalid[k.latest.Key].Epoch < c.epoch
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -86,12 +86,20 @@
 	OnInvalid func(r Record, err error)
 }
 
+// invalidRecord is a record without its value, and why the value is invalid.
+type invalidRecord struct {
+	Record
+	err error
+}
+
 // Copy is a node's copy of one topic. Its zero value is empty. It is not safe for
 // concurrent use.
 type Copy struct {
 	Rules Rules
 
 	records map[string]keyState
+	// invalid holds the last invalid record of each key.
+	invalid map[string]invalidRecord
 	epoch   Epoch // the newest epoch of any record, listing or mark
 	// endOffset is how far the last reader had read at readAt, and heldOffset how far the
 	// records are in this copy, both in the newest epoch.
@@ -149,16 +157,27 @@
 	return wasHash != isHash
 }
 
-// accepts reports whether the value of a record is valid.
+// accepts reports whether the value of a record is valid. One that is merged again is not
+// validated again.
 func (c *Copy) accepts(r Record) bool {
 	if c.Rules.Validate == nil || r.Deleted {
 		return true
 	}
-	err := c.Rules.Validate(r)
-	if err != nil && c.Rules.OnInvalid != nil {
-		c.Rules.OnInvalid(r, err)
+	known, ok := c.invalid[r.Key]
+	if !ok || comparePosition(known.Record, r) != 0 {
+		known.err = c.Rules.Validate(r)
+	}
+	if known.err == nil {
+		return true
+	}
+	if c.invalid == nil {
+		c.invalid = map[string]invalidRecord{}
+	}
+	c.invalid[r.Key] = invalidRecord{Record: Record{Topic: r.Topic, Key: r.Key, Offset: r.Offset, Epoch: r.Epoch}, err: known.err}
+	if c.Rules.OnInvalid != nil {
+		c.Rules.OnInvalid(r, known.err)
 	}
-	return err == nil
+	return false
 }
 
 // parseContent applies Rules.ParseContent, or treats all of the value as significant.
