Read records whose keys are invalid UTF-8

What callers saw: one record with such a key made the nodes that received it from a peer close the link, again after each attempt to replace it. A listing of the store did not end while such keys filled its last page.

Cause: the decoder of messages refuses text that is invalid UTF-8, which keys, and instances that targets state, may be. The JSON of a listing has replacement characters in place of such bytes, and a page that continues after this key is the same page.

Why it works: the decoder takes such text as it is.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -35,6 +35,8 @@
 		MaxMapPairs:      maxElements,
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		IndefLength:      cbor.IndefLengthForbidden,
+		// A text may come from a party other than the sender.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
