Leave out members of the nodes' group whose address is invalid

What callers saw: a member that another writer adds to the group, with a port out of range or without an address, counted as a node: each node dialled it, and divided limits by one more. A number beyond float64 in any row hid all members.

Cause: the name of a member only had to have a prefix and a separator, and numbers that are not used were decoded.

Why it works: a member needs an availability zone, and an address that can be dialled. One that does not is left out and logged once, with event 236 (record-malformed) and its name.

--- a/cmd/apricotmount/platform.go
+++ b/cmd/apricotmount/platform.go
@@ -66,6 +66,7 @@
 	defer sink.Close(logFlushTimeout)
 	logger := event.NewLogger(sink, c.LogLevel)
 	store := platform.NewStore(s.StoreAddress, s.PartitionsPerTopic)
+	store.Logger = logger
 	n := gateway.NewNode(s, gateway.Dependencies{
 		Store: store, Statuses: store, Decoder: platform.RecordDecoder{}, EntrySettings: platform.EntrySettings,
 		RequestIDHeader: platform.RequestIDHeader, Logger: logger, Metrics: metrics.NewRegistry(),
--- a/event/event.go
+++ b/event/event.go
@@ -70,6 +70,7 @@
 	ZoneOutOfService  = register(233, "zone-out-of-service", zap.WarnLevel, "The operator took an availability zone out of service (field out is true) or returned it to service (false).")
 	TargetListed      = register(234, "target-listed", zap.InfoLevel, "The store entry of a target changed or was removed; the field state holds the new state.")
 	TargetMisdirected = register(235, "target-misdirected", zap.WarnLevel, "Another process responds at a target's address; the target gets no calls.")
+	RecordMalformed   = register(236, "record-malformed", zap.WarnLevel, "A member of the nodes' group or the status of a roll-out cannot be used and is ignored; the field error states why.")
 )
 
 // Events of the platform's services.
