Leave out a malformed entry of the list of VMs, not the whole list

What callers saw: one entry with a number out of range, of another type or with deep nesting made the list unreadable: nodes kept the last one and did not follow VMs that joined or left. An entry with a port out of range named a VM.

Cause: the list was decoded as one JSON document, so that one malformed value failed all of it.

Evidence: TestOddEntryLeavesOthersInList failed before.

Why it works: the entries are separated first, without recursion and whatever they hold, and then decoded and validated one by one. A list that breaks off is still an error, not a shorter list. A malformed entry is logged once, with event 313 (list-entry-malformed) and its beginning.

--- a/cmd/apricotmount/standalone.go
+++ b/cmd/apricotmount/standalone.go
@@ -13,6 +13,7 @@
 	"github.com/alexflint/go-arg"
 	"go.uber.org/zap"
 
+	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/metrics"
 	"github.com/apricotmount/apricotmount/node"
 	"github.com/apricotmount/apricotmount/settings"
@@ -57,7 +58,9 @@
 		return err
 	}
 	defer logger.Sync()
-	platform := node.Platform{Log: &stream.Client{URL: s.LogURL}, VMLister: &vm.Client{URL: s.VMsURL}}
+	platform := node.Platform{Log: &stream.Client{URL: s.LogURL}, VMLister: &vm.Client{URL: s.VMsURL, OnMalformed: func(entry, cause string) {
+		event.ListEntryMalformed.Log(logger, zap.String("entry", entry), zap.String("error", cause))
+	}}}
 	n := node.New(s, platform, logger, metrics.NewRegistry())
 	if err := n.Start(); err != nil {
 		return err
--- a/event/event.go
+++ b/event/event.go
@@ -75,15 +75,16 @@
 
 // Events of the platform's services.
 var (
-	LogAway        = register(300, "log-away", zap.WarnLevel, "The platform's log does not respond; calls continue, publications and claims are refused.")
-	LogBack        = register(301, "log-back", zap.InfoLevel, "The platform's log responds again.")
-	StoreAway      = register(302, "store-away", zap.WarnLevel, "A read of the topic in the field topic of the platform's store failed; the last known state (age-ms old) stays in use, and updates from peers are still applied.")
-	StoreBack      = register(303, "store-back", zap.InfoLevel, "The platform's store responds to this node's reads of the topic again.")
-	ReaderTurn     = register(304, "reader-turn", zap.InfoLevel, "This node started reading the topic for its peers (field reading is true) or left that to another node (false).")
-	StoreRestored  = register(305, "store-restored", zap.WarnLevel, "The platform's store came back from an older copy and begins a new epoch; what it lacks stays in use until it is written again or the time for that is over.")
-	ListAway       = register(310, "list-away", zap.WarnLevel, "The platform's list of VMs does not respond; the last list stays in use.")
-	ListBack       = register(311, "list-back", zap.InfoLevel, "The platform's list of VMs responds again.")
-	ListIncomplete = register(312, "list-incomplete", zap.WarnLevel, "The list lacks most targets of a service although they respond; they stay in use until the list is complete again.")
+	LogAway            = register(300, "log-away", zap.WarnLevel, "The platform's log does not respond; calls continue, publications and claims are refused.")
+	LogBack            = register(301, "log-back", zap.InfoLevel, "The platform's log responds again.")
+	StoreAway          = register(302, "store-away", zap.WarnLevel, "A read of the topic in the field topic of the platform's store failed; the last known state (age-ms old) stays in use, and updates from peers are still applied.")
+	StoreBack          = register(303, "store-back", zap.InfoLevel, "The platform's store responds to this node's reads of the topic again.")
+	ReaderTurn         = register(304, "reader-turn", zap.InfoLevel, "This node started reading the topic for its peers (field reading is true) or left that to another node (false).")
+	StoreRestored      = register(305, "store-restored", zap.WarnLevel, "The platform's store came back from an older copy and begins a new epoch; what it lacks stays in use until it is written again or the time for that is over.")
+	ListAway           = register(310, "list-away", zap.WarnLevel, "The platform's list of VMs does not respond; the last list stays in use.")
+	ListBack           = register(311, "list-back", zap.InfoLevel, "The platform's list of VMs responds again.")
+	ListIncomplete     = register(312, "list-incomplete", zap.WarnLevel, "The list lacks most targets of a service although they respond; they stay in use until the list is complete again.")
+	ListEntryMalformed = register(313, "list-entry-malformed", zap.WarnLevel, "An entry of the platform's list of VMs cannot be used and is ignored; the field error states why.")
 )
 
 // Events of calls and of their log lines.
--- a/vm/client.go
+++ b/vm/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
@@ -25,13 +24,18 @@
 	URL string
 	// HTTPClient sends the requests. Nil selects http.DefaultClient.
 	HTTPClient *http.Client
+	// OnMalformed, if set, is called for each malformed entry with the beginning of its text and
+	// of the cause, once while the entry stays the same.
+	OnMalformed func(entry, cause string)
 
 	mu       sync.Mutex
 	etag     string
 	lastList List
+	// malformed holds the malformed entries of the last list.
+	malformed map[string]bool
 }
 
-// List requests the list once. If the platform reports by entity tag that the list
+// List requests the list once and leaves out malformed entries. If the platform reports by entity tag that the list
 // is unchanged, List returns the list of the previous response.
 func (c *Client) List(ctx context.Context) (list List, err error) {
 	defer func() { err = eris.Wrap(err, "read the list of VMs") }()
@@ -57,13 +61,32 @@
 	if resp.StatusCode != http.StatusOK {
 		return List{}, eris.Errorf("status %d", resp.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list); err != nil {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return List{}, err
+	}
+	list, malformed, err := decodeList(body)
+	if err != nil {
 		return List{}, err
 	}
+	c.reportMalformed(malformed)
 	c.etag, c.lastList = resp.Header.Get("ETag"), list
 	return list, nil
 }
 
+// reportMalformed reports the malformed entries that the last list did not have. c.mu must be
+// held.
+func (c *Client) reportMalformed(entries []malformedEntry) {
+	reported := map[string]bool{}
+	for _, e := range entries {
+		if !c.malformed[e.text] && !reported[e.text] && c.OnMalformed != nil {
+			c.OnMalformed(e.text, e.cause)
+		}
+		reported[e.text] = true
+	}
+	c.malformed = reported
+}
+
 func (c *Client) httpClient() *http.Client {
 	if c.HTTPClient == nil {
 		return http.DefaultClient
