Refuse documents that are nested too deeply

What callers saw: a document of 200 KB with 100,000 nested lists, sent to the interface of operators, ended the process.

Cause: the memory that the YAML library needs grows with the square of the depth: it failed to allocate more than 14 GB in trials with brackets, braces and dashes. The limit of 4 MiB for a document does not bound that.

Why it works: a scan of the text refuses more than 100 levels of brackets, or of dashes at the start of a line, before the library sees the text. Nesting by indentation is bounded by the length of the text. The scan takes no memory and may only count too many levels, by brackets in texts whose quotes are unusual.

--- a/document/document.go
+++ b/document/document.go
@@ -19,7 +19,7 @@
 func Decode(b []byte, v any) (err error) {
 	var faults fault.List
 	var tree any
-	if err := unmarshal(b, &tree); err != nil {
+	if err := Unmarshal(b, &tree); err != nil {
 		faults.Add("document", "is not YAML: %s", firstLine(err))
 		return faults
 	}
@@ -27,15 +27,18 @@
 		return nil
 	}
 	checkValue(tree, reflect.TypeOf(v).Elem(), "", &faults)
-	if err := unmarshal(b, v); err != nil && len(faults) == 0 {
+	if err := Unmarshal(b, v); err != nil && len(faults) == 0 {
 		faults.Add("document", "%s", firstLine(err))
 	}
 	return faults.Err()
 }
 
-// unmarshal decodes YAML. The library panics on some malformed documents; such a
-// panic is returned as an error.
-func unmarshal(b []byte, v any) (err error) {
+// Unmarshal decodes YAML and ignores unknown keys. The library panics on some malformed
+// documents, and needs much memory for deeply nested ones; both are returned as errors.
+func Unmarshal(b []byte, v any) (err error) {
+	if isTooDeep(b) {
+		return eris.Errorf("is nested deeper than %d levels", maxNestingDepth)
+	}
 	defer func() {
 		if r := recover(); r != nil {
 			err = eris.Errorf("cannot be read: %v", r)
