Accept invalid UTF-8 only in messages between nodes

Cause: the change to the decoder of messages also applied to the records of the product's own streams.

Change: messages between nodes are decoded with DecodeAnyText, everything else as before. TestInvalidUTF8DoesNotEndDecoding checks both.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -14,8 +14,9 @@
 )
 
 var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
+	encMode        = mustEncMode()
+	decMode        = mustDecMode(cbor.UTF8RejectInvalid)
+	anyTextDecMode = mustDecMode(cbor.UTF8DecodeInvalid)
 )
 
 func mustEncMode() cbor.EncMode {
@@ -28,15 +29,14 @@
 	return mode
 }
 
-func mustDecMode() cbor.DecMode {
+func mustDecMode(utf8 cbor.UTF8Mode) cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		MaxNestedLevels:  maxNestingDepth,
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxElements,
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		IndefLength:      cbor.IndefLengthForbidden,
-		// A text may come from a party other than the sender.
-		UTF8: cbor.UTF8DecodeInvalid,
+		UTF8:             utf8,
 	}.DecMode()
 	if err != nil {
 		panic(err)
@@ -61,3 +61,10 @@
 	defer func() { err = eris.Wrap(err, "decode CBOR") }()
 	return decMode.Unmarshal(b, v)
 }
+
+// DecodeAnyText decodes like Decode, and accepts text that is not valid UTF-8: it may come from
+// a party other than the sender.
+func DecodeAnyText(b []byte, v any) (err error) {
+	defer func() { err = eris.Wrap(err, "decode CBOR") }()
+	return anyTextDecMode.Unmarshal(b, v)
+}
--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -11,9 +11,12 @@
 	}
 	want := message{ID: "i-\xff", Count: 3}
 	var got message
-	if err := Decode(Encode(want), &got); err != nil {
+	if err := DecodeAnyText(Encode(want), &got); err != nil {
 		t.Fatal(err)
 	}
+	if err := Decode(Encode(want), &message{}); err == nil {
+		t.Error("text of the sender itself: got no error, want one")
+	}
 	if got != want {
 		t.Errorf("message: got %+v, want %+v", got, want)
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -182,7 +182,7 @@
 	if b, err = decompress(b); err != nil {
 		return Message{}, err
 	}
-	if err := codec.Decode(b, &m); err != nil {
+	if err := codec.DecodeAnyText(b, &m); err != nil {
 		return Message{}, err
 	}
 	if len(m.Observations) > maxObservations || len(m.Limits) > maxObservations || len(m.Entries) > maxEntries || len(m.Withdrawals) > maxObservations || len(m.Records) > maxEntries || len(m.Nodes) > maxEntries || len(m.Left) > maxEntries || len(m.Suspects) > maxEntries || len(m.Alive) > maxEntries || rollout.SampleCount(m.Rollouts) > maxEntries {
