Log records of the configuration stream that cannot be decoded

What callers saw: a record of another writer was skipped, as it should be, but nothing said so.

Cause: the state of the configuration did not report it.

Evidence: TestMalformedRecordsLeaveOthersInForce fails without the report; that publications go on between malformed records of every kind (nesting, lengths and numbers out of range, duplicate keys, invalid UTF-8, 1 MB) was so before.

Why it works: the state reports each such record once, as it is applied. Event 205 (config-malformed) has its offset; records of this stream have no key.

--- a/config/state.go
+++ b/config/state.go
@@ -26,6 +26,9 @@
 	// OnChange, if set, is called after a configuration is installed, with s.mu
 	// held; it must not block.
 	OnChange func(c *Configuration)
+	// OnMalformed, if set, is called for each record that cannot be decoded and is skipped,
+	// with s.mu held.
+	OnMalformed func(offset stream.Offset, err error)
 
 	mu             sync.Mutex
 	current        atomic.Pointer[Configuration]
@@ -97,6 +100,9 @@
 	if eris.Is(err, ErrNewerFormat) {
 		return ErrNewerFormat
 	}
+	if err != nil && s.OnMalformed != nil {
+		s.OnMalformed(rec.Offset, err)
+	}
 	if err == nil && payload.Snapshot != nil && payload.Snapshot.Configuration != nil {
 		s.updateLatestSnapshot(payload.Snapshot.Configuration, rec.AppendedAt)
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -52,6 +52,7 @@
 	ConfigFromPeer      = register(202, "config-from-peer", zap.InfoLevel, "The configuration was received from a peer before it was read from the log.")
 	ConfigSnapshot      = register(203, "config-snapshot", zap.InfoLevel, "This node wrote a snapshot of the configuration to the log.")
 	ConfigFormat        = register(204, "config-format", zap.ErrorLevel, "A configuration record has a newer format than this version can read; upgrade this node.")
+	ConfigMalformed     = register(205, "config-malformed", zap.ErrorLevel, "A record of the configuration stream cannot be decoded and is skipped.")
 	PublicationAccepted = register(210, "publication-accepted", zap.InfoLevel, "An operator's publication became active.")
 	PublicationRefused  = register(211, "publication-refused", zap.WarnLevel, "An operator's publication was refused or was overtaken by another one; the field reason states why.")
 	PublicationUnknown  = register(212, "publication-unknown", zap.ErrorLevel, "A publication was not read from the log in time; it may still become active. The field error is present if the log did not confirm the append.")
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -6,6 +6,7 @@
 
 	"github.com/apricotmount/apricotmount/config"
 	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/stream"
 )
 
 // handleConfigChange applies a new configuration and logs a change of revision. It
@@ -29,3 +30,8 @@
 		event.ConfigBehind.Log(n.logger)
 	}
 }
+
+// logMalformedConfig logs a record of the configuration stream that was skipped.
+func (n *Node) logMalformedConfig(offset stream.Offset, err error) {
+	event.ConfigMalformed.Log(n.logger, zap.Uint64("offset", uint64(offset)), zap.String("error", err.Error()))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -88,6 +88,7 @@
 	n.initClaimManager(self.Incarnation)
 	n.services = newServiceRegistry(n)
 	n.configState.OnChange = n.handleConfigChange
+	n.configState.OnMalformed = n.logMalformedConfig
 	n.callerHandler = &entry.Handler{
 		Directory:  n.services,
 		Pools:      n.services,
