Require the ID of the call on a refusal

What callers saw: a call that a target had run or was running was answered with 503 and Retry-After, or sent to a second target. A target had refused a health query on the connection before, and wrote that refusal once more.

Cause: a response without the ID of the call was rejected unless it was a refusal. The refusal of a health query has none, so its copy was taken for the refusal of the call that was open on the connection. The same holds for 421.

Why it works: a copy can carry the ID of an earlier call or none, and both are rejected.

TestMisdirectedCallIsReported had a target that omits the ID, which the protocol does not allow; it echoes it now, and a 421 without ID is a case of TestUnverifiedResponseIsRejected.

--- a/entry/verification_test.go
+++ b/entry/verification_test.go
@@ -46,6 +46,8 @@
 		{"no ID", "HTTP/1.1 200 OK\r\nX-Proof: p\r\nContent-Length: 2\r\n\r\nno", 502, ""},
 		{"success without proof", "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nno", 502, ""},
 		{"refusal of another call", "HTTP/1.1 503 Busy\r\nX-Id: 6\r\nTarget-Refused: before-start\r\nContent-Length: 0\r\n\r\n", 502, ""},
+		{"refusal without ID", "HTTP/1.1 503 Busy\r\nTarget-Refused: before-start\r\nContent-Length: 0\r\n\r\n", 502, ""},
+		{"misdirected without ID", "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", 502, ""},
 		{"truncated", verifiedHeaders + "Content-Length: 9\r\n\r\nshort", 502, ""},
 		{"no length, closed by the target", verifiedHeaders + "Connection: close\r\n\r\nwhole", 200, "whole"},
 		{"own failure", "HTTP/1.1 500 Oops\r\nX-Id: 7\r\nX-Proof: p\r\nContent-Length: 4\r\n\r\noops", 500, "oops"},
@@ -124,7 +126,7 @@
 		if got := req.Header.Get("X-Expect"); got != "t0" {
 			t.Errorf("expected instance: got %q, want t0", got)
 		}
-		io.WriteString(w, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+		io.WriteString(w, "HTTP/1.1 421 Misdirected Request\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n")
 		return true
 	})
 	reportCount := 0
--- a/wire/protocol.go
+++ b/wire/protocol.go
@@ -42,7 +42,7 @@
 	// another instance refuses the call with status 421.
 	ExpectHeader string
 	// IDHeader carries the call ID, which targets echo. A response with another
-	// ID, or none, belongs to another call; a refusal may have none.
+	// ID, or none, belongs to another call or to a probe.
 	IDHeader string
 	// KeyHeader carries a caller's API key, which no target receives, and TenantHeader the
 	// name of the key's tenant to the target.
@@ -229,11 +229,10 @@
 	return p.ExpectHeader != "" && resp.StatusCode == http.StatusMisdirectedRequest
 }
 
-// idMatches reports whether a response carries the call's ID. A refusal may have no
-// ID, but not another one.
+// idMatches reports whether a response carries the call's ID. A refusal needs it too: one
+// without may be that of an earlier probe.
 func (p Protocol) idMatches(sent http.Header, resp *http.Response) bool {
-	id := resp.Header.Get(p.IDHeader)
-	return id == sent.Get(p.IDHeader) || id == "" && p.IsRefusal(resp)
+	return resp.Header.Get(p.IDHeader) == sent.Get(p.IDHeader)
 }
 
 // answersCall reports whether a response belongs to a call, by its ID.
