Reject data that a target sends while no request is open

What callers saw: an upload got 503 connect-failed, though its target could run it, after the target had written an earlier response once more. Rarely, a call got that copy as its own response.

Cause: net/http closes a connection that receives data while it is idle, but it stayed in the pool. A call with a streamed body failed on it: such a call is not sent again. A connection whose copy was still in the reader's buffer could also be given to the next call; the copy became the response to a request of which nothing was written yet.

Why it works: data that is read before the first byte of a request, or after the end of a response, is an error of the connection, and nothing is written to it any more. A request begins only when the reader waits for data, so that nothing is left in its buffer. The body is unread then, and the call is sent over another connection.

A copy that arrives after the next request can be told by its ID only; a protocol without IDHeader has no protection from it.

--- a/entry/copied_test.go
+++ b/entry/copied_test.go
@@ -133,7 +133,7 @@
 		{"interim response", answerOfFirst, interim, false, true},
 	}
 	for _, tt := range tests {
-		for _, at := range []copyTime{afterNextRequest, duringNextBody} {
+		for _, at := range []copyTime{inSameWrite, beforeNextRequest, afterNextRequest, duringNextBody} {
 			for _, isVerified := range []bool{true, false} {
 				isEarly := at == inSameWrite || at == beforeNextRequest
 				if !isVerified && !isEarly {
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -65,7 +65,8 @@
 		if denied {
 			return nil, &dispatch.AttemptFailure{Result: target.Cancelled}, false
 		}
-		if !written && ctx.Err() == nil && s.body.isReplayable() {
+		isBodyUnread := s.body.isReplayable() || errors.Is(err, wire.ErrConnEnded)
+		if !written && ctx.Err() == nil && isBodyUnread {
 			return nil, nil, true
 		}
 		f := s.attemptFailure(ctx, a, written, timedOut.Load())
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -20,10 +20,12 @@
 // byte.
 var ErrSendDenied = eris.New("permission to send was denied")
 
-// trackedConn is the network connection of a Conn. It counts the bytes written and
-// records the time of the last read that returned data.
+// trackedConn is the network connection of a Conn. It counts the bytes written, records
+// the time of the last read that returned data, and fails when data arrives that belongs
+// to no response.
 type trackedConn struct {
 	net.Conn
+	exchange     exchange
 	writtenBytes atomic.Int64
 	// lastReadAt is the time of that read in nanoseconds since epoch; 0 means none.
 	lastReadAt  atomic.Int64
@@ -36,13 +38,20 @@
 var epoch = time.Now()
 
 func (t *trackedConn) Write(b []byte) (n int, err error) {
+	if err := t.exchange.beginWrite(); err != nil {
+		return 0, err
+	}
 	// Count before writing: bytes may be sent even if the call fails.
 	t.writtenBytes.Add(int64(len(b)))
 	return t.Conn.Write(b)
 }
 
 func (t *trackedConn) Read(b []byte) (n int, err error) {
+	t.exchange.beginRead()
 	n, err = t.Conn.Read(b)
+	if err := t.exchange.endRead(n); err != nil {
+		return 0, err
+	}
 	if n > 0 {
 		t.lastReadAt.Store(int64(time.Since(epoch)))
 	}
@@ -52,6 +61,13 @@
 	return n, err
 }
 
+// Close closes the connection. The transport calls it too, once data has arrived that
+// belongs to no response.
+func (t *trackedConn) Close() error {
+	t.exchange.end()
+	return t.Conn.Close()
+}
+
 // Conn is one connection to a target; it carries one request at a time.
 type Conn struct {
 	pool      *Pool
@@ -105,9 +121,13 @@
 
 // Send writes one request and waits for the response headers. It calls maySend, if
 // not nil, right before the first byte and returns ErrSendDenied if it returns
-// false.
+// false. It returns ErrConnEnded if the connection ended before, which leaves the
+// request's body unread.
 // written reports whether any byte of the request may have been sent.
 func (c *Conn) Send(req *http.Request, maySend func() bool) (resp *http.Response, written bool, err error) {
+	if err := c.netConn.exchange.awaitReady(req.Context()); err != nil {
+		return nil, false, err
+	}
 	writtenBefore := c.netConn.writtenBytes.Load()
 	if maySend != nil && !maySend() {
 		return nil, false, ErrSendDenied
@@ -134,5 +154,5 @@
 func (c *Conn) close() {
 	c.isClosed.Store(true)
 	c.transport.CloseIdleConnections()
-	c.netConn.Conn.Close()
+	c.netConn.Close()
 }
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -144,7 +144,11 @@
 			return nil
 		}
 		p.idle = p.idle[:len(p.idle)-1]
-		if !c.isClosed.Load() {
+		switch {
+		case c.isClosed.Load():
+		case c.netConn.exchange.isEnded():
+			p.discard(c)
+		default:
 			return c
 		}
 	}
@@ -211,8 +215,7 @@
 	}
 	c := p.idle[0]
 	p.idle = p.idle[1:]
-	delete(p.all, c)
-	c.close()
+	p.discard(c)
 	return true
 }
 
@@ -237,10 +240,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if reusable && !p.isClosed && !c.isClosed.Load() && len(p.all) <= p.limit {
+		c.netConn.exchange.finish()
 		c.idleSince = time.Now()
 		p.idle = append(p.idle, c)
 		return
 	}
+	p.discard(c)
+}
+
+// discard removes and closes a connection. p.mu must be held.
+func (p *Pool) discard(c *Conn) {
 	delete(p.all, c)
 	c.close()
 }
@@ -283,8 +292,7 @@
 		if !shouldClose(c) {
 			return false
 		}
-		delete(p.all, c)
-		c.close()
+		p.discard(c)
 		return true
 	})
 }
