Send a refused call over another connection

What callers saw: an unsafe call ran twice. A target had refused it, then wrote the refusal once more when the call came back over the same connection, and ran the call; the copy was taken for a second refusal, and the call was sent again.

Cause: both copies have the ID of the call, which says nothing about the attempt.

Evidence: TestCopiedRefusalOfSameCallIsNoProof fails before in three of four cases (two runs of a call that is not idempotent). The fourth, a copy in the same write as the refusal, is closed as unsolicited data.

Why it works: a call that was refused over a connection does not use it again, so a copy of the refusal arrives at calls with another ID only. Connections are kept otherwise.

--- a/entry/copied_test.go
+++ b/entry/copied_test.go
@@ -204,3 +204,23 @@
 		t.Errorf("early hints of another call: got %d, want 0", got)
 	}
 }
+
+// Guards against a copy of a refusal that is taken for the response when the same call is
+// sent to that target again.
+func TestCopiedRefusalOfSameCallIsNoProof(t *testing.T) {
+	for _, at := range []copyTime{inSameWrite, beforeNextRequest, afterNextRequest, duringNextBody} {
+		t.Run(string(at), func(t *testing.T) {
+			ct := &copyingTarget{first: refusalOfFirst, second: refusalOfFirst, at: at}
+			p := nonIdempotent()
+			p.QueueTimeout = time.Second
+			h := newCopyHarness(t, p, true, ct)
+			resp, body, err := h.do(t, http.MethodPost, "x", "X-Id", "first")
+			if err != nil || resp.StatusCode != http.StatusOK || body != "own" {
+				t.Errorf("response: got %v %q %v, want the target's own", resp, body, err)
+			}
+			if got := ct.runs.Load(); got != 1 {
+				t.Errorf("runs: got %d, want 1", got)
+			}
+		})
+	}
+}
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -7,7 +7,9 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"net/url"
+	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +33,11 @@
 	hops    int
 	// isCounted is that of the call.
 	isCounted bool
+
+	mu sync.Mutex
+	// refusing are the connections over which the call was refused. A copy of the refusal
+	// may still arrive there, with the ID of the call.
+	refusing []*wire.Conn
 }
 
 // Send makes one attempt at a target.
@@ -51,7 +58,7 @@
 // sendOnce makes an attempt over one connection. canReplaceConn is true if the
 // connection was closed before anything was written, so another one may be used.
 func (s *callSender) sendOnce(ctx context.Context, pool *wire.Pool, a dispatch.Attempt) (response dispatch.Response, f *dispatch.AttemptFailure, canReplaceConn bool) {
-	conn, err := pool.Get(ctx, a.RequireRecentRead || !s.body.isReplayable())
+	conn, err := pool.Get(ctx, a.RequireRecentRead || !s.body.isReplayable(), s.refusingConns())
 	if err != nil {
 		return nil, &dispatch.AttemptFailure{Result: s.connectResult(ctx, err)}, false
 	}
@@ -143,6 +150,7 @@
 			f.Report = target.Report{}
 			s.handler.reportMisdirected(a.Target)
 		}
+		s.recordRefusal(conn)
 		targetResponse.Discard()
 		return nil, f, false
 	}
@@ -153,6 +161,24 @@
 	return targetResponse, nil, false
 }
 
+// recordRefusal excludes a connection from further attempts of the call. Without IDs it
+// does nothing: the copy of any refusal, on any connection, may be taken for the call's.
+func (s *callSender) recordRefusal(c *wire.Conn) {
+	if s.handler.protocol().IDHeader == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = append(s.refusing, c)
+}
+
+// refusingConns returns the connections over which the call was refused.
+func (s *callSender) refusingConns() []*wire.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clip(s.refusing)
+}
+
 // newRequest builds the outgoing request of one attempt.
 func (s *callSender) newRequest(ctx context.Context, a dispatch.Attempt) *http.Request {
 	if trace := s.clientTrace(); trace != nil {
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -120,30 +120,32 @@
 	return len(p.all)
 }
 
-// Get returns an idle connection or opens a new one. With requireRecentRead, an
-// idle connection is used only if data was received on it within
+// Get returns an idle connection other than those in avoid, or opens a new one. With
+// requireRecentRead, an idle connection is used only if data was received on it within
 // Settings.MaxReadAge; a new one has just received the response to its probe.
-func (p *Pool) Get(ctx context.Context, requireRecentRead bool) (c *Conn, err error) {
-	if c := p.takeIdle(requireRecentRead || p.settings.RequireRecentRead); c != nil {
+func (p *Pool) Get(ctx context.Context, requireRecentRead bool, avoid []*Conn) (c *Conn, err error) {
+	if c := p.takeIdle(requireRecentRead || p.settings.RequireRecentRead, avoid); c != nil {
 		return c, nil
 	}
 	c, _, err = p.open(ctx)
 	return c, err
 }
 
-// takeIdle returns the most recently released idle connection, or nil if there is
-// none or, with requireRecentRead, if it received no data within
+// takeIdle returns the most recently released idle connection that is not in avoid, or
+// nil if there is none or, with requireRecentRead, if it received no data within
 // Settings.MaxReadAge.
-func (p *Pool) takeIdle(requireRecentRead bool) *Conn {
+func (p *Pool) takeIdle(requireRecentRead bool, avoid []*Conn) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	minReadAt := time.Now().Add(-p.settings.MaxReadAge)
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
+	for i, c := range slices.Backward(p.idle) {
+		if slices.Contains(avoid, c) {
+			continue
+		}
 		if requireRecentRead && !c.receivedSince(minReadAt) {
 			return nil
 		}
-		p.idle = p.idle[:len(p.idle)-1]
+		p.idle = slices.Delete(p.idle, i, i+1)
 		switch {
 		case c.isClosed.Load():
 		case c.netConn.exchange.isEnded():
--- a/wire/pool_test.go
+++ b/wire/pool_test.go
@@ -86,7 +86,7 @@
 	defer pool.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	c, err := pool.Get(ctx, false)
+	c, err := pool.Get(ctx, false, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/wire/probe.go
+++ b/wire/probe.go
@@ -44,7 +44,7 @@
 // was received within recentReadAge, a new connection is tried, because the first
 // may have become permanently unresponsive.
 func (p *Pool) QueryLoad(ctx context.Context, silentTimeout time.Duration) (report target.Report, err error) {
-	if c := p.takeIdle(false); c != nil {
+	if c := p.takeIdle(false, nil); c != nil {
 		probeCtx, cancel := context.WithTimeout(ctx, p.queryTimeout(c, silentTimeout))
 		defer cancel()
 		report, err = p.sendProbe(probeCtx, c)
@@ -77,7 +77,7 @@
 // Probe sends a probe within the probe budget, over an idle connection or a new
 // one, and returns the load report.
 func (p *Pool) Probe(ctx context.Context) (report target.Report, err error) {
-	c := p.takeIdle(false)
+	c := p.takeIdle(false, nil)
 	if c == nil {
 		// Opening a connection includes a probe, which returns the report.
 		c, report, err = p.open(ctx)
