Bound the interim responses to one request

What callers saw: a call was held for its whole time, while its target sent interim responses (1xx) without end, and the node read more than 100 MB of them.

Cause: net/http bounds the length of all heads of a response, but starts anew after each interim response that a client trace examines. The trace that forwards early hints does.

--- /dev/null
+++ b/entry/interim_test.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// endlessInterim writes interim responses until the connection is closed, and returns their
+// total length.
+func endlessInterim(w io.Writer, status string) (sent int) {
+	piece := fmt.Sprintf("HTTP/1.1 %s\r\nX-Id: 7\r\nX-Filler: %01000d\r\n\r\n", status, 0)
+	for {
+		n, err := io.WriteString(w, piece)
+		sent += n
+		if err != nil {
+			return sent
+		}
+	}
+}
+
+// Interim responses without end are no response: the call must end soon, and its target must
+// not be able to send more than a bounded number of bytes.
+func TestEndlessInterimResponsesAreCutOff(t *testing.T) {
+	const maxSentBytes = 4 << 20
+	for _, status := range []string{"100 Continue", "102 Processing", "103 Early Hints", "199 Other"} {
+		t.Run(status, func(t *testing.T) {
+			sent := make(chan int, 1)
+			h, _ := newVerifyingHarness(t, nonIdempotent(), func(w io.Writer, _ *http.Request, _ int) bool {
+				sent <- endlessInterim(w, status)
+				return false
+			})
+			start := time.Now()
+			resp, _, err := h.do(t, http.MethodPost, "x", "X-Id", "7")
+			if err != nil || resp.StatusCode != http.StatusBadGateway {
+				t.Errorf("response: got %v %v, want 502", resp, err)
+			}
+			if got := time.Since(start); got > time.Second {
+				t.Errorf("time of the response: got %s, want at most 1s", got)
+			}
+			if got := <-sent; got > maxSentBytes {
+				t.Errorf("sent: got %d bytes, want at most %d", got, maxSentBytes)
+			}
+		})
+	}
+}
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/http/httptrace"
-	"net/textproto"
 	"net/url"
 	"slices"
 	"strconv"
@@ -64,7 +62,8 @@
 	}
 	ctx, timer, timedOut := headerTimer(ctx, a.HeaderDeadline)
 	startedAt := time.Now()
-	resp, written, err := conn.Send(s.newRequest(ctx, a), a.MaySend)
+	interim := &interimReader{sender: s}
+	resp, written, err := conn.Send(s.newRequest(interim.withTrace(ctx), a), a.MaySend)
 	timer.Stop()
 	if err != nil {
 		denied := errors.Is(err, wire.ErrSendDenied)
@@ -181,9 +180,6 @@
 
 // newRequest builds the outgoing request of one attempt.
 func (s *callSender) newRequest(ctx context.Context, a dispatch.Attempt) *http.Request {
-	if trace := s.clientTrace(); trace != nil {
-		ctx = httptrace.WithClientTrace(ctx, trace)
-	}
 	header := s.inbound.Header.Clone()
 	stripHopByHop(header)
 	caller := tenant.FromContext(s.inbound.Context())
@@ -223,29 +219,6 @@
 	return out.WithContext(ctx)
 }
 
-// clientTrace returns a trace that forwards early hints (103) to the caller while
-// the final response is pending, or nil if there is no response writer.
-func (s *callSender) clientTrace() *httptrace.ClientTrace {
-	if s.w == nil {
-		return nil
-	}
-	return &httptrace.ClientTrace{
-		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
-			if code != http.StatusEarlyHints {
-				return nil
-			}
-			for name, values := range h {
-				s.w.Header()[name] = values
-			}
-			s.w.WriteHeader(code)
-			for name := range h {
-				s.w.Header().Del(name)
-			}
-			return nil
-		},
-	}
-}
-
 // setForwardedHeaders adds the caller's address and the original host to the
 // outgoing headers.
 func setForwardedHeaders(h http.Header, inbound *http.Request) {
