End the early hints of a call with its attempt

What callers saw: none reported. The process could end, or bytes of a hint could stand beside or after a response to the caller.

Cause: net/http calls the trace for interim responses in the goroutine that reads the connection. When an attempt ends by its timeout, or because a hedge was faster, that goroutine may still write a hint, while another writes the response: both use the same header map and the same connection without a lock.

Evidence: TestEarlyHintsEndWithAttempt fails before under the race detector (17 races with the other tests of interim responses), with concurrent writes to the header map. Without the detector, in 20 repeats (1,000 calls at most) one response was malformed, one broke off, and 14 failures carried the Link of a hint.

Why it works: a lock of the call guards each hint. An attempt that has ended writes none, and the response of the call closes the lock for all others before its header is written.

--- a/entry/interim.go
+++ b/entry/interim.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync"
 
 	"github.com/rotisserie/eris"
 )
@@ -16,11 +17,28 @@
 
 var errInterimResponses = eris.New("the target sent too many interim responses")
 
-// interimReader handles the interim responses to one attempt.
+// hintWriter forwards early hints (103) to the caller while the response is pending. Its
+// zero value is open.
+type hintWriter struct {
+	mu       sync.Mutex
+	isClosed bool
+}
+
+// close ends the forwarding: the response begins.
+func (hw *hintWriter) close() {
+	hw.mu.Lock()
+	defer hw.mu.Unlock()
+	hw.isClosed = true
+}
+
+// interimReader handles the interim responses to one attempt. The transport calls receive in
+// a goroutine of its own, which may outlive the attempt.
 type interimReader struct {
 	sender *callSender
 	// count is the number of interim responses.
 	count int
+	// hasEnded reports whether the attempt has ended; it is guarded by the hintWriter.
+	hasEnded bool
 }
 
 // withTrace returns a context that passes interim responses to ir.
@@ -40,8 +58,15 @@
 	return nil
 }
 
-// forward writes early hints to the caller.
+// forward writes early hints to the caller, unless the attempt has ended or the response
+// has begun.
 func (ir *interimReader) forward(hints http.Header) {
+	hw := &ir.sender.hints
+	hw.mu.Lock()
+	defer hw.mu.Unlock()
+	if hw.isClosed || ir.hasEnded {
+		return
+	}
 	header := ir.sender.w.Header()
 	maps.Copy(header, hints)
 	ir.sender.w.WriteHeader(http.StatusEarlyHints)
@@ -49,3 +74,11 @@
 		header.Del(name)
 	}
 }
+
+// end is called when the attempt has ended. No hint is written after it returns.
+func (ir *interimReader) end() {
+	hw := &ir.sender.hints
+	hw.mu.Lock()
+	defer hw.mu.Unlock()
+	ir.hasEnded = true
+}
--- a/entry/interim_test.go
+++ b/entry/interim_test.go
@@ -46,3 +46,30 @@
 		})
 	}
 }
+
+// Early hints that arrive when the attempt ends must not be written beside or after the
+// response to the caller.
+func TestEarlyHintsEndWithAttempt(t *testing.T) {
+	p := nonIdempotent()
+	p.CallTimeout, p.AttemptTimeout = 5*time.Millisecond, 5*time.Millisecond
+	h, _ := newVerifyingHarness(t, p, func(w io.Writer, _ *http.Request, _ int) bool {
+		for {
+			if _, err := io.WriteString(w, "HTTP/1.1 103 Early Hints\r\nX-Id: 7\r\nLink: </a>\r\n\r\n"); err != nil {
+				return false
+			}
+			time.Sleep(200 * time.Microsecond)
+		}
+	})
+	for range 50 {
+		resp, _, err := h.do(t, http.MethodPost, "x", "X-Id", "7")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode < http.StatusBadGateway {
+			t.Errorf("response: got %d, want a failure", resp.StatusCode)
+		}
+		if got := resp.Header.Get("Link"); got != "" {
+			t.Errorf("Link of the failure: got %q, want none", got)
+		}
+	}
+}
--- a/entry/response.go
+++ b/entry/response.go
@@ -23,6 +23,7 @@
 // dispatch.Response.
 type TargetResponse struct {
 	conn          *wire.Conn
+	hints         *hintWriter
 	resp          *http.Response
 	report        target.Report
 	extraAttempts int
@@ -141,6 +142,14 @@
 // must be aborted, because the response is truncated.
 func (h *Handler) writeResponse(w http.ResponseWriter, inbound *http.Request, callResponse *dispatch.CallResponse, arrivedAt time.Time) (failure outcome.Failure, aborted bool) {
 	r := callResponse.Response.(*TargetResponse)
+	// A hedge may still receive hints.
+	r.hints.close()
+	if !r.isFramed(inbound.Method) {
+		r.release(false)
+		callResponse.Finish(target.Broken)
+		h.writeFailure(w, &dispatch.CallFailure{Outcome: outcome.Unknown, Reason: outcome.AnswerUnframed, ExtraAttempts: callResponse.ExtraAttempts})
+		return outcome.Failure{Outcome: outcome.Unknown, Reason: outcome.AnswerUnframed}, false
+	}
 	h.writeHeader(w, r, callResponse)
 	err := copyBody(w, r.resp)
 	if err == nil {
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -31,6 +31,7 @@
 	hops    int
 	// isCounted is that of the call.
 	isCounted bool
+	hints   hintWriter
 
 	mu sync.Mutex
 	// refusing are the connections over which the call was refused. A copy of the refusal
@@ -64,6 +65,7 @@
 	startedAt := time.Now()
 	interim := &interimReader{sender: s}
 	resp, written, err := conn.Send(s.newRequest(interim.withTrace(ctx), a), a.MaySend)
+	interim.end()
 	timer.Stop()
 	if err != nil {
 		denied := errors.Is(err, wire.ErrSendDenied)
@@ -133,6 +135,7 @@
 	protocol := s.handler.protocol()
 	targetResponse := &TargetResponse{
 		conn:          conn,
+		hints:         &s.hints,
 		resp:          resp,
 		report:        protocol.ParseReport(resp),
 		extraAttempts: min(a.MaxExtraAttempts, parseCount(resp.Header, HeaderExtraAttempts, 0)),
