Forward only the early hints of the call itself

What callers saw: none reported. The early hints of an earlier call, written once more by a target, would reach the next caller.

Cause: the ID was checked on final responses only.

Evidence: the two late cases with early hints of TestCopiedResponseIsNotTakenForNextCall fail before: one hint of another call.

Why it works: with an ID in the protocol, hints without that of the call are dropped, which a caller does not miss.

--- a/entry/copied_test.go
+++ b/entry/copied_test.go
@@ -113,6 +113,7 @@
 const (
 	refusalOfFirst = "HTTP/1.1 503 Full\r\nX-Id: first\r\nTarget-Refused: before-start\r\nContent-Length: 0\r\n\r\n"
 	answerOfFirst  = "HTTP/1.1 200 OK\r\nX-Id: first\r\nX-Proof: p\r\nContent-Length: 5\r\n\r\nfirst"
+	hintsOfFirst   = "HTTP/1.1 103 Early Hints\r\nX-Id: first\r\nLink: </first>\r\n\r\n"
 	refusedProbe   = "HTTP/1.1 503 Full\r\nTarget-Refused: before-start\r\nContent-Length: 0\r\n\r\n"
 	interim        = "HTTP/1.1 100 Continue\r\n\r\n"
 )
@@ -131,6 +132,7 @@
 		{"misdirected probe", "", "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", true, false},
 		{"success", answerOfFirst, answerOfFirst, false, false},
 		{"interim response", answerOfFirst, interim, false, true},
+		{"early hints", answerOfFirst, hintsOfFirst, false, true},
 	}
 	for _, tt := range tests {
 		for _, at := range []copyTime{inSameWrite, beforeNextRequest, afterNextRequest, duringNextBody} {
--- a/entry/interim.go
+++ b/entry/interim.go
@@ -52,12 +52,18 @@
 	if ir.count > maxInterimResponses {
 		return errInterimResponses
 	}
-	if status == http.StatusEarlyHints && ir.sender.w != nil {
+	if status == http.StatusEarlyHints && ir.sender.w != nil && ir.isOwn(http.Header(h)) {
 		ir.forward(http.Header(h))
 	}
 	return nil
 }
 
+// isOwn reports whether early hints belong to the call, by its ID.
+func (ir *interimReader) isOwn(h http.Header) bool {
+	idHeader := ir.sender.handler.protocol().IDHeader
+	return idHeader == "" || h.Get(idHeader) == ir.sender.inbound.Header.Get(idHeader)
+}
+
 // forward writes early hints to the caller, unless the attempt has ended or the response
 // has begun.
 func (ir *interimReader) forward(hints http.Header) {
