Keep connection headers out of early hints

What callers saw: none reported. Hints carried the headers of the connection to the target and its load report, and the response of a draining node lacked Connection: close if a hint had that header.

Cause: the headers of a hint were copied as they came and then deleted by name from those of the response.

Evidence: TestEarlyHintsCarryNoConnectionHeaders fails before for Connection, a header that it names, the load header, and the response of the draining node.

Why it works: hints lose the same headers as responses, and the headers of the response are set aside while a hint is written.

--- a/entry/interim.go
+++ b/entry/interim.go
@@ -73,12 +73,15 @@
 	if hw.isClosed || ir.hasEnded {
 		return
 	}
+	stripHopByHop(hints)
+	ir.sender.handler.protocol().StripHeaders(hints)
 	header := ir.sender.w.Header()
+	response := maps.Clone(header)
+	clear(header)
 	maps.Copy(header, hints)
 	ir.sender.w.WriteHeader(http.StatusEarlyHints)
-	for name := range hints {
-		header.Del(name)
-	}
+	clear(header)
+	maps.Copy(header, response)
 }
 
 // end is called when the attempt has ended. No hint is written after it returns.
--- a/entry/interim_test.go
+++ b/entry/interim_test.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"testing"
 	"time"
 )
@@ -73,3 +76,36 @@
 		}
 	}
 }
+
+// Early hints must not carry what concerns the connection to the target only, nor change
+// the headers of the response.
+func TestEarlyHintsCarryNoConnectionHeaders(t *testing.T) {
+	h, _ := newVerifyingHarness(t, nonIdempotent(), func(w io.Writer, _ *http.Request, _ int) bool {
+		io.WriteString(w, "HTTP/1.1 103 Early Hints\r\nX-Id: 7\r\nConnection: X-Hop\r\nX-Hop: 1\r\nTarget-In-Flight: 3\r\nLink: </a>\r\n\r\n")
+		io.WriteString(w, verifiedHeaders+"Content-Length: 2\r\n\r\nok")
+		return true
+	})
+	h.handler.SetDraining()
+	var hints textproto.MIMEHeader
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { hints = header; return nil },
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.server.URL+"/s/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Id", "7")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	for name, want := range map[string]string{"Link": "</a>", "Connection": "", "X-Hop": "", "Target-In-Flight": ""} {
+		if got := hints.Get(name); got != want {
+			t.Errorf("%s of the hints: got %q, want %q", name, got, want)
+		}
+	}
+	if !resp.Close {
+		t.Error("response of a draining node: got no Connection: close, want it")
+	}
+}
