Test responses whose head breaks off at each byte

Cause: an operator of a similar system saw a 200 with an empty or short body after a server had stopped in the middle of its answer's head.

--- /dev/null
+++ b/relay/brokenhead_test.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/apricotmount/apricotmount/vm"
+)
+
+// startBreakingNode starts a node that writes head to each relayed call and then closes the
+// connection.
+func startBreakingNode(t *testing.T, id vm.ID, head string) vm.VM {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveBreaking(c, head)
+		}
+	}()
+	return vm.VM{ID: id, Address: vm.Address(l.Addr().String()), Zone: "east"}
+}
+
+func serveBreaking(c net.Conn, head string) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		if r.URL.Path != probePath {
+			io.WriteString(c, head)
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", headerInstance, headerState, stateLive)
+	}
+}
+
+// Guards against a response whose head broke off between two nodes and which reaches the
+// caller as whole. A call that may be repeated goes through another node.
+func TestBrokenHeadOfNodeIsNoResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + headerInstance + ": 1\r\n" + headerState + ": live\r\n"
+	for _, ending := range []string{"Content-Length: 5\r\n\r\n", "Connection: close\r\n\r\n"} {
+		for length := range len(head + ending) {
+			broken := startBreakingNode(t, "node-1", (head + ending)[:length])
+			h, sender := newSendingHandler(t, false)
+			setNodes(sender, []vm.VM{broken})
+			if w := post(h, "body"); w.Code != http.StatusBadGateway {
+				t.Errorf("unsafe call, %d bytes: got %d %q, want 502", length, w.Code, w.Body)
+			}
+			whole := startReceiver(t, "node-2", always, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "whole") })
+			h, sender = newSendingHandler(t, true)
+			for range 100 {
+				sender.service.RetryBudget.Earn()
+			}
+			setNodes(sender, []vm.VM{broken, whole})
+			if w := post(h, "body"); w.Code != http.StatusOK || w.Body.String() != "whole" {
+				t.Errorf("safe call, %d bytes: got %d %q, want the response of the other node", length, w.Code, w.Body)
+			}
+		}
+	}
+}
