Reject responses without a final status

What callers saw: the connection closed without an answer, when a target sent bytes such as "HTTP/1.1 000" with the ID of the call, or switched to another protocol (101).

Cause: net/http accepts any three digits, and 101 as the end of a response. The server's response writer panics on a status below 100. The target's slot was never released, because the panic ended the call before it was finished.

Evidence: three cases of TestUnverifiedResponseIsRejected fail before, with a closed connection.

Why it works: such a response breaks the attempt, like other bytes that are no response.

--- a/entry/verification_test.go
+++ b/entry/verification_test.go
@@ -51,6 +51,9 @@
 		{"truncated", verifiedHeaders + "Content-Length: 9\r\n\r\nshort", 502, ""},
 		{"no length, closed by the target", verifiedHeaders + "Connection: close\r\n\r\nwhole", 200, "whole"},
 		{"own failure", "HTTP/1.1 500 Oops\r\nX-Id: 7\r\nX-Proof: p\r\nContent-Length: 4\r\n\r\noops", 500, "oops"},
+		{"status 0", "HTTP/1.1 000 Zero\r\nX-Id: 7\r\nX-Proof: p\r\nContent-Length: 2\r\n\r\nno", 502, ""},
+		{"status 20", "HTTP/1.1 +20 OK\r\nX-Id: 7\r\nX-Proof: p\r\nContent-Length: 2\r\n\r\nno", 502, ""},
+		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\nX-Id: 7\r\nX-Proof: p\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\nno", 502, ""},
 		{"not HTTP", "garbage garbage\r\n\r\n", 502, ""},
 	}
 	for _, tt := range tests {
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -20,6 +20,10 @@
 // byte.
 var ErrSendDenied = eris.New("permission to send was denied")
 
+// errNotFinal is returned if a response ends with a status below 200. No request asks for
+// another protocol (101), and other such numbers are no status.
+var errNotFinal = eris.New("the status is not that of a final response")
+
 // trackedConn is the network connection of a Conn. It counts the bytes written, records
 // the time of the last read that returned data, and fails when data arrives that belongs
 // to no response.
@@ -134,6 +138,10 @@
 	}
 	resp, err = c.transport.RoundTrip(req)
 	written = c.netConn.writtenBytes.Load() != writtenBefore
+	if err == nil && resp.StatusCode < http.StatusOK {
+		resp.Body.Close()
+		return nil, written, errNotFinal
+	}
 	return resp, written, err
 }
 
