Bound the wait for the rest of a refusal

What callers saw: a call was held to its deadline and then answered with 504, though a target had refused it at once and others could have run it.

Cause: the rest of a response that is not used was read to its end, so that the connection can be reused. A target that stops in the body of its refusal held the call meanwhile.

Evidence: TestRefusalWithStalledBodyIsUsedAtOnce fails before (504 after 5 s).

Why it works: after 50 ms the connection is closed instead.

--- a/entry/response.go
+++ b/entry/response.go
@@ -84,11 +84,17 @@
 // downstream of the target, as stated in the response.
 func (r *TargetResponse) ExtraAttempts() int { return r.extraAttempts }
 
-// Discard closes the response unread. A short remaining body is read so that the
-// connection can be reused.
+// discardTimeout bounds the time for which the call waits for the rest of a response that it
+// does not use.
+const discardTimeout = 50 * time.Millisecond
+
+// Discard closes the response unread. A short remaining body that arrives within
+// discardTimeout is read so that the connection can be reused.
 func (r *TargetResponse) Discard() {
 	r.releaseOnce.Do(func() {
+		timer := time.AfterFunc(discardTimeout, func() { r.resp.Body.Close() })
 		n, err := io.CopyN(io.Discard, r.resp.Body, copyBufferSize)
+		timer.Stop()
 		r.resp.Body.Close()
 		r.conn.Release(err == io.EOF && n < copyBufferSize && !r.resp.Close)
 	})
--- a/entry/verification_test.go
+++ b/entry/verification_test.go
@@ -172,3 +172,30 @@
 		t.Error("connection to the target: got open after 5 s, want closed")
 	}
 }
+
+// A refusal whose body does not end must not hold the call: its head has stated that the
+// call was not run.
+func TestRefusalWithStalledBodyIsUsedAtOnce(t *testing.T) {
+	released := make(chan struct{})
+	t.Cleanup(func() { close(released) })
+	h, raw := newVerifyingHarness(t, nonIdempotent(), func(w io.Writer, _ *http.Request, n int) bool {
+		if n > 1 {
+			io.WriteString(w, verifiedHeaders+"Content-Length: 2\r\n\r\nok")
+			return true
+		}
+		io.WriteString(w, "HTTP/1.1 503 Full\r\nX-Id: 7\r\nTarget-Refused: before-start\r\nContent-Length: 9\r\n\r\nshort")
+		<-released
+		return false
+	})
+	start := time.Now()
+	resp, body, err := h.do(t, http.MethodPost, "x", "X-Id", "7")
+	if err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
+		t.Errorf("response: got %v %q %v, want that of the second attempt", resp, body, err)
+	}
+	if got := time.Since(start); got > time.Second {
+		t.Errorf("time of the response: got %s, want at most 1s", got)
+	}
+	if got := raw.requests.Load(); got != 2 {
+		t.Errorf("requests at the target: got %d, want 2", got)
+	}
+}
