Test further parts of a response that have no end

Cause: bytes that are no answer may come without end in any part of a response.

Evidence: ten parts beside the interim responses (status line, headers, chunk sizes and extensions, trailers) pass on the code as it is: net/http bounds them.

--- a/entry/interim_test.go
+++ b/entry/interim_test.go
@@ -11,28 +11,45 @@
 	"time"
 )
 
-// endlessInterim writes interim responses until the connection is closed, and returns their
+// writeWithoutEnd writes start and then piece until the connection is closed, and returns the
 // total length.
-func endlessInterim(w io.Writer, status string) (sent int) {
-	piece := fmt.Sprintf("HTTP/1.1 %s\r\nX-Id: 7\r\nX-Filler: %01000d\r\n\r\n", status, 0)
-	for {
-		n, err := io.WriteString(w, piece)
-		sent += n
-		if err != nil {
-			return sent
-		}
+func writeWithoutEnd(w io.Writer, start, piece string) (sent int) {
+	n, err := io.WriteString(w, start)
+	for sent = n; err == nil; sent += n {
+		n, err = io.WriteString(w, piece)
 	}
+	return sent
 }
 
-// Interim responses without end are no response: the call must end soon, and its target must
-// not be able to send more than a bounded number of bytes.
-func TestEndlessInterimResponsesAreCutOff(t *testing.T) {
-	const maxSentBytes = 4 << 20
-	for _, status := range []string{"100 Continue", "102 Processing", "103 Early Hints", "199 Other"} {
-		t.Run(status, func(t *testing.T) {
+// A response of which any part has no end is no response: the call must end soon, and its
+// target must not be able to send more than a bounded number of bytes.
+func TestEndlessPartOfResponseIsCutOff(t *testing.T) {
+	const (
+		maxSentBytes = 4 << 20
+		chunked      = verifiedHeaders + "Transfer-Encoding: chunked\r\n"
+	)
+	filler := fmt.Sprintf("%01000d", 0)
+	tests := []struct{ name, start, piece string }{
+		{"100", "", "HTTP/1.1 100 Continue\r\nX-Id: 7\r\nX-Filler: " + filler + "\r\n\r\n"},
+		{"102", "", "HTTP/1.1 102 Processing\r\nX-Id: 7\r\nX-Filler: " + filler + "\r\n\r\n"},
+		{"103", "", "HTTP/1.1 103 Early Hints\r\nX-Id: 7\r\nX-Filler: " + filler + "\r\n\r\n"},
+		{"199", "", "HTTP/1.1 199 Other\r\nX-Id: 7\r\nX-Filler: " + filler + "\r\n\r\n"},
+		{"line ends before the status", "", "\r\n"},
+		{"status line", "HTTP/1.1 200 ", filler},
+		{"header line", verifiedHeaders + "X-Filler: ", filler},
+		{"headers", verifiedHeaders, "X-Filler: " + filler + "\r\n"},
+		{"continued header", verifiedHeaders + "X-Filler: 0\r\n", " " + filler + "\r\n"},
+		{"chunk size", chunked + "\r\n", "0"},
+		{"chunk extension", chunked + "\r\n5;", filler},
+		{"chunk extensions", chunked + "\r\n", "1;" + filler + "\r\nx\r\n"},
+		{"trailer line", chunked + "Trailer: X-Sum\r\n\r\n0\r\nX-Sum: ", filler},
+		{"trailers", chunked + "Trailer: X-Sum\r\n\r\n0\r\n", "X-Sum: " + filler + "\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
 			sent := make(chan int, 1)
 			h, _ := newVerifyingHarness(t, nonIdempotent(), func(w io.Writer, _ *http.Request, _ int) bool {
-				sent <- endlessInterim(w, status)
+				sent <- writeWithoutEnd(w, tt.start, tt.piece)
 				return false
 			})
 			start := time.Now()
