Send no attempt of a call over a connection that it has used

What callers saw: none reported. A safe call was sent three times in place of two: the copy of a failure (500) was taken for the response to the second attempt, which cost one more extra attempt and the target a run.

Cause: connections were excluded after a refusal only.

That test has all cases of TestCopiedRefusalOfSameCallIsNoProof, which it replaces.

Why it works: any response to an attempt excludes its connection for the call.

--- a/entry/copied_test.go
+++ b/entry/copied_test.go
@@ -112,6 +112,7 @@
 
 const (
 	refusalOfFirst = "HTTP/1.1 503 Full\r\nX-Id: first\r\nTarget-Refused: before-start\r\nContent-Length: 0\r\n\r\n"
+	failureOfFirst = "HTTP/1.1 500 Internal Server Error\r\nX-Id: first\r\nX-Proof: p\r\nContent-Length: 0\r\n\r\n"
 	answerOfFirst  = "HTTP/1.1 200 OK\r\nX-Id: first\r\nX-Proof: p\r\nContent-Length: 5\r\n\r\nfirst"
 	hintsOfFirst   = "HTTP/1.1 103 Early Hints\r\nX-Id: first\r\nLink: </first>\r\n\r\n"
 	refusedProbe   = "HTTP/1.1 503 Full\r\nTarget-Refused: before-start\r\nContent-Length: 0\r\n\r\n"
@@ -207,22 +208,29 @@
 	}
 }
 
-// Guards against a copy of a refusal that is taken for the response when the same call is
-// sent to that target again.
-func TestCopiedRefusalOfSameCallIsNoProof(t *testing.T) {
-	for _, at := range []copyTime{inSameWrite, beforeNextRequest, afterNextRequest, duringNextBody} {
-		t.Run(string(at), func(t *testing.T) {
-			ct := &copyingTarget{first: refusalOfFirst, second: refusalOfFirst, at: at}
-			p := nonIdempotent()
-			p.QueueTimeout = time.Second
-			h := newCopyHarness(t, p, true, ct)
-			resp, body, err := h.do(t, http.MethodPost, "x", "X-Id", "first")
-			if err != nil || resp.StatusCode != http.StatusOK || body != "own" {
-				t.Errorf("response: got %v %q %v, want the target's own", resp, body, err)
-			}
-			if got := ct.runs.Load(); got != 1 {
-				t.Errorf("runs: got %d, want 1", got)
-			}
-		})
+// Guards against a copy of the response to an attempt that is taken for that to the next
+// attempt of the same call at the target. An unsafe call would run twice.
+func TestCopyIsNotTakenForNextAttempt(t *testing.T) {
+	tests := []struct {
+		name, first string
+		profile     profile.Profile
+	}{
+		{"refusal", refusalOfFirst, nonIdempotent()},
+		{"failure", failureOfFirst, idempotent()},
+	}
+	for _, tt := range tests {
+		for _, at := range []copyTime{inSameWrite, beforeNextRequest, afterNextRequest, duringNextBody} {
+			t.Run(fmt.Sprint(tt.name, " ", at), func(t *testing.T) {
+				ct := &copyingTarget{first: tt.first, second: tt.first, at: at}
+				h := newCopyHarness(t, tt.profile, true, ct)
+				resp, body, err := h.do(t, http.MethodPost, "x", "X-Id", "first")
+				if err != nil || resp.StatusCode != http.StatusOK || body != "own" {
+					t.Errorf("response: got %v %q %v, want the target's own", resp, body, err)
+				}
+				if got := ct.runs.Load(); got != 1 {
+					t.Errorf("runs: got %d, want 1", got)
+				}
+			})
+		}
 	}
 }
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -34,9 +34,9 @@
 	hints   hintWriter
 
 	mu sync.Mutex
-	// refusing are the connections over which the call was refused. A copy of the refusal
-	// may still arrive there, with the ID of the call.
-	refusing []*wire.Conn
+	// usedConns are the connections over which an attempt got a response. A copy of it may
+	// still arrive there, with the ID of the call.
+	usedConns []*wire.Conn
 }
 
 // Send makes one attempt at a target.
@@ -57,7 +57,7 @@
 // sendOnce makes an attempt over one connection. canReplaceConn is true if the
 // connection was closed before anything was written, so another one may be used.
 func (s *callSender) sendOnce(ctx context.Context, pool *wire.Pool, a dispatch.Attempt) (response dispatch.Response, f *dispatch.AttemptFailure, canReplaceConn bool) {
-	conn, err := pool.Get(ctx, a.RequireRecentRead || !s.body.isReplayable(), s.refusingConns())
+	conn, err := pool.Get(ctx, a.RequireRecentRead || !s.body.isReplayable(), s.excludedConns())
 	if err != nil {
 		return nil, &dispatch.AttemptFailure{Result: s.connectResult(ctx, err)}, false
 	}
@@ -132,6 +132,7 @@
 // handleResponse processes a response whose headers were received. It returns a
 // failure if the response does not belong to the call or is a refusal.
 func (s *callSender) handleResponse(ctx context.Context, conn *wire.Conn, resp *http.Response, a dispatch.Attempt, timedOut bool) (dispatch.Response, *dispatch.AttemptFailure, bool) {
+	s.excludeConn(conn)
 	protocol := s.handler.protocol()
 	targetResponse := &TargetResponse{
 		conn:          conn,
@@ -152,7 +153,6 @@
 			f.Report = target.Report{}
 			s.handler.reportMisdirected(a.Target)
 		}
-		s.recordRefusal(conn)
 		targetResponse.Discard()
 		return nil, f, false
 	}
@@ -163,22 +163,22 @@
 	return targetResponse, nil, false
 }
 
-// recordRefusal excludes a connection from further attempts of the call. Without IDs it
-// does nothing: the copy of any refusal, on any connection, may be taken for the call's.
-func (s *callSender) recordRefusal(c *wire.Conn) {
+// excludeConn excludes a connection from further attempts of the call. Without IDs it does
+// nothing: the copy of any response, on any connection, may be taken for the call's.
+func (s *callSender) excludeConn(c *wire.Conn) {
 	if s.handler.protocol().IDHeader == "" {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refusing = append(s.refusing, c)
+	s.usedConns = append(s.usedConns, c)
 }
 
-// refusingConns returns the connections over which the call was refused.
-func (s *callSender) refusingConns() []*wire.Conn {
+// excludedConns returns the connections that the next attempt must not use.
+func (s *callSender) excludedConns() []*wire.Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clip(s.refusing)
+	return slices.Clip(s.usedConns)
 }
 
 // newRequest builds the outgoing request of one attempt.
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -8,4 +8,8 @@
 // A new connection carries calls only after a probe over the same connection has
 // reported the target's instance and state. Later calls on it can reach only that
 // process, because a connection does not outlive the process that accepted it.
+//
+// Data belongs to a response only if it arrives while a request is open. A target may send a
+// response twice: data at any other time ends the connection before the next request, and
+// Protocol.IDHeader tells a copy that arrives during that request.
 package wire
