Reset the connection of an HTTP/1.0 caller after a truncated response

What callers saw: none reported here; callers of a similar system got a 200 with a short body that looked whole.

Cause: a response in chunks has no length for an HTTP/1.0 caller, so its body ends with the connection. When the target broke off, the connection was closed as after a whole body.

Evidence: two cases of TestTruncatedResponseResetsOldCallerConnection fail before (200, "short", no error).

Why it works: a connection that is reset ends no body.

--- a/entry/brokenhead_test.go
+++ b/entry/brokenhead_test.go
@@ -89,3 +89,34 @@
 	}
 	return h, raw
 }
+
+// Guards against a short body that an HTTP/1.0 caller takes for whole: without a length, it
+// ends with the connection.
+func TestTruncatedResponseResetsOldCallerConnection(t *testing.T) {
+	tests := []struct {
+		name, response string
+		isWhole        bool
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n0\r\n\r\n", true},
+		{"in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nshort", false},
+		{"between chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			raw := newRawTarget(t, func(w io.Writer, _ *http.Request, _ int) bool {
+				io.WriteString(w, tt.response)
+				return false
+			})
+			h := newHarness(t, nonIdempotent(), raw.address())
+			c, err := net.Dial("tcp", strings.TrimPrefix(h.server.URL, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, "GET /x HTTP/1.0\r\nHost: h\r\n\r\n")
+			if b, err := io.ReadAll(c); (err == nil) != tt.isWhole {
+				t.Errorf("response: got %q %v, want it whole: %v", b, err, tt.isWhole)
+			}
+		})
+	}
+}
--- a/entry/response.go
+++ b/entry/response.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -163,6 +165,9 @@
 	}
 	r.release(err == nil)
 	if err != nil {
+		if !inbound.ProtoAtLeast(1, 1) {
+			resetCaller(w)
+		}
 		result, reason := target.Broken, outcome.AnswerLost
 		if inbound.Context().Err() != nil || err.isCallerSide {
 			result, reason = target.Cancelled, outcome.CallerGoneAfterSend
@@ -176,6 +181,23 @@
 	return outcome.Failure{}, false
 }
 
+// resetCaller resets the connection of a caller with HTTP/1.0. The body of a response without
+// a length ends there with the connection, and a closed one would make it look whole.
+func resetCaller(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tlsConn, ok := c.(*tls.Conn); ok {
+		c = tlsConn.NetConn()
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// An error means that the connection has ended.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // writeHeader writes the status and headers of a target's response to the caller.
 func (h *Handler) writeHeader(w http.ResponseWriter, r *TargetResponse, callResponse *dispatch.CallResponse) {
 	header := w.Header()
