Take the times out of the tests of copied and endless responses

Cause: a test waited 60 ms for a copy that its target writes after 20 ms, and two bounded the time of a response by 1 s, which a busy machine may exceed. They wait for the end of the connection now, and tell a call that is held by its status: 504 at the deadline.

--- a/entry/copied_test.go
+++ b/entry/copied_test.go
@@ -41,6 +41,8 @@
 	calls, runs atomic.Int32
 	// conns is the number of connections.
 	conns atomic.Int32
+	// ended is closed when the first connection has ended.
+	ended chan struct{}
 }
 
 func (ct *copyingTarget) start(t *testing.T) (address string) {
@@ -50,19 +52,35 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
+	ct.ended = make(chan struct{})
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			ct.conns.Add(1)
-			go ct.serve(c)
+			isFirst := ct.conns.Add(1) == 1
+			go func() {
+				ct.serve(c)
+				if isFirst {
+					close(ct.ended)
+				}
+			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// awaitEnd waits until the handler has closed the connection with the copy.
+func (ct *copyingTarget) awaitEnd(t *testing.T) {
+	t.Helper()
+	select {
+	case <-ct.ended:
+	case <-time.After(5 * time.Second):
+		t.Error("connection with a copy: got open after 5s, want closed")
+	}
+}
+
 func (ct *copyingTarget) serve(c net.Conn) {
 	defer c.Close()
 	br := bufio.NewReader(c)
@@ -158,7 +176,7 @@
 						}
 					}
 					if at == beforeNextRequest {
-						time.Sleep(60 * time.Millisecond)
+						ct.awaitEnd(t)
 					}
 					checkNextCall(t, h, ct, isEarly || tt.isHarmless)
 				})
--- a/entry/interim_test.go
+++ b/entry/interim_test.go
@@ -21,7 +21,7 @@
 	return sent
 }
 
-// A response of which any part has no end is no response: the call must end soon, and its
+// A response of which any part has no end is no response: the call must end at once, and its
 // target must not be able to send more than a bounded number of bytes.
 func TestEndlessPartOfResponseIsCutOff(t *testing.T) {
 	const (
@@ -52,14 +52,11 @@
 				sent <- writeWithoutEnd(w, tt.start, tt.piece)
 				return false
 			})
-			start := time.Now()
+			// A call that is held to its deadline gets 504.
 			resp, _, err := h.do(t, http.MethodPost, "x", "X-Id", "7")
 			if err != nil || resp.StatusCode != http.StatusBadGateway {
 				t.Errorf("response: got %v %v, want 502", resp, err)
 			}
-			if got := time.Since(start); got > time.Second {
-				t.Errorf("time of the response: got %s, want at most 1s", got)
-			}
 			if got := <-sent; got > maxSentBytes {
 				t.Errorf("sent: got %d bytes, want at most %d", got, maxSentBytes)
 			}
--- a/entry/verification_test.go
+++ b/entry/verification_test.go
@@ -187,14 +187,11 @@
 		<-released
 		return false
 	})
-	start := time.Now()
+	// A call that is held to its deadline gets 504.
 	resp, body, err := h.do(t, http.MethodPost, "x", "X-Id", "7")
 	if err != nil || resp.StatusCode != http.StatusOK || body != "ok" {
 		t.Errorf("response: got %v %q %v, want that of the second attempt", resp, body, err)
 	}
-	if got := time.Since(start); got > time.Second {
-		t.Errorf("time of the response: got %s, want at most 1s", got)
-	}
 	if got := raw.requests.Load(); got != 2 {
 		t.Errorf("requests at the target: got %d, want 2", got)
 	}
