--- a/entry/response.go
+++ b/entry/response.go
@@ -125,6 +125,8 @@
 // another node states that it has none. It returns the failure, or nil.
 func rejectResponse(callResponse *dispatch.CallResponse, method string) *dispatch.CallFailure {
 	r := callResponse.Response.(*TargetResponse)
+	// A hedge may still receive hints.
+	r.hints.close()
 	failure := &dispatch.CallFailure{Outcome: outcome.Unknown, Reason: outcome.AnswerUnframed, ExtraAttempts: callResponse.ExtraAttempts, HasReached: true}
 	switch {
 	case r.isNodeFailure:
@@ -150,14 +152,6 @@
 // must be aborted, because the response is truncated.
 func (h *Handler) writeResponse(w http.ResponseWriter, inbound *http.Request, callResponse *dispatch.CallResponse, arrivedAt time.Time) (failure outcome.Failure, aborted bool) {
 	r := callResponse.Response.(*TargetResponse)
-	// A hedge may still receive hints.
-	r.hints.close()
-	if !r.isFramed(inbound.Method) {
-		r.release(false)
-		callResponse.Finish(target.Broken)
-		h.writeFailure(w, &dispatch.CallFailure{Outcome: outcome.Unknown, Reason: outcome.AnswerUnframed, ExtraAttempts: callResponse.ExtraAttempts})
-		return outcome.Failure{Outcome: outcome.Unknown, Reason: outcome.AnswerUnframed}, false
-	}
 	h.writeHeader(w, r, callResponse)
 	err := copyBody(w, r.resp)
 	if err == nil {
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -31,7 +31,7 @@
 	hops    int
 	// isCounted is that of the call.
 	isCounted bool
-	hints   hintWriter
+	hints     hintWriter
 
 	mu sync.Mutex
 	// usedConns are the connections over which an attempt got a response. A copy of it may
