Give up a hedge whose path to the targets is lost

What callers saw: while a node has no path to the targets, an idempotent call with an open hedge waited for the hedge until its timeout and failed, where a call without one goes on through another node at once.

Cause: the loss of the path cancelled the context of the first attempt only. The call then waited for its hedge, also when only the hedge was still open.

Evidence: TestHedgeIsGivenUpOnLostPath fails before: the call ends after 1.01 s, its attempt timeout, 50 ms wanted.

Fix: the loss of the path stops the hedge too, until both have ended. A hedge that was stopped and has a response all the same counts as an attempt that may have run, since the call goes on then.

--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -16,11 +16,17 @@
 func (r *run) attemptWithHedge(ctx context.Context, reservation target.Reservation) (*CallResponse, *AttemptFailure) {
 	firstCtx, cancel := context.WithCancel(ctx)
 	h := r.scheduleHedge(ctx, cancel, reservation)
-	stopWatching := r.cancelOnPathLoss(cancel)
+	stopWatching := r.cancelOnPathLoss(func() {
+		cancel()
+		h.stop()
+	})
 	r.hasAttempted = true
 	firstResponse, firstFailure := r.attempt(firstCtx, reservation, r.allowance.DownstreamLimit(), r.mayHaveRun)
-	stopWatching()
+	if firstFailure == nil {
+		stopWatching()
+	}
 	resp, failure := r.resolveHedge(ctx, h, reservation, firstResponse, firstFailure)
+	stopWatching()
 	if h.hasSpentToken() && !r.allowance.Spend() {
 		r.dispatcher.countExtraAttempt(outcome.ForgoneNoAllowance)
 	}
@@ -127,20 +133,32 @@
 	if response == nil && failure == nil {
 		return
 	}
-	h.mu.Lock()
-	stopped := h.stopped
-	h.reservation, h.response, h.attemptFailure = reservation, response, failure
-	h.mu.Unlock()
-	if failure != nil {
+	if h.end(reservation, response, failure) {
+		// The cancelled first attempt returns, and resolveHedge uses this response.
+		h.cancelFirst()
 		return
 	}
-	if stopped {
+	if response != nil {
 		response.Discard()
 		h.run.service.Table.Finish(reservation, time.Now(), target.Cancelled, response.Report())
-		return
 	}
-	// The cancelled first attempt returns, and resolveHedge uses this response.
-	h.cancelFirst()
+}
+
+// end records how the attempt of the hedge ended, and reports whether its response is used.
+// The target may have run a call whose response is not.
+func (h *hedge) end(reservation target.Reservation, response Response, failure *AttemptFailure) (isUsed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reservation, h.attemptFailure = reservation, failure
+	if failure != nil {
+		return false
+	}
+	if !h.stopped {
+		h.response = response
+		return true
+	}
+	h.attemptFailure = &AttemptFailure{Result: target.Cancelled, Written: true}
+	return false
 }
 
 // begin marks the hedge as started and returns its context, or false if the hedge
@@ -214,8 +232,8 @@
 	return false
 }
 
-// stop cancels the hedge because the first attempt got a response. If the hedge
-// already has one, it returns false and cancels nothing.
+// stop cancels the hedge because the first attempt got a response or the path to the targets
+// is lost. If the hedge already has a response, it returns false and cancels nothing.
 func (h *hedge) stop() bool {
 	if h == nil {
 		return true
--- a/dispatch/hedge_test.go
+++ b/dispatch/hedge_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/apricotmount/apricotmount/retry"
 )
 
 // decisionLog records the decisions on calls. It is safe for concurrent use.
@@ -50,3 +53,44 @@
 		}
 	})
 }
+
+// Guards against an idempotent call that waits for its hedge after the path to the targets is
+// lost, where its first attempt is given up.
+func TestHedgeIsGivenUpOnLostPath(t *testing.T) {
+	const lostAfter = 50 * time.Millisecond
+	for _, tt := range []struct {
+		name     string
+		first    action
+		attempts int
+	}{
+		{"both open", action{delay: time.Hour}, 2},
+		{"hedge open", action{delay: 20 * time.Millisecond, failure: brokenAfterWrite}, 2},
+		{"hedge not started", action{delay: time.Hour}, 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newHedgingFixture(t, func(n int, _ Attempt) action {
+				if n == 1 {
+					return tt.first
+				}
+				return action{delay: time.Hour}
+			})
+			if tt.attempts == 1 {
+				f.svc.HedgeBudget = &retry.Budget{}
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			f.svc.Path = fakePath{ctx}
+			time.AfterFunc(lostAfter, cancel)
+			p := idempotent()
+			p.Hedge, p.HedgePercentile = true, 95
+			start := time.Now()
+			_, fail := f.Do(t.Context(), f.svc, newCall(p), f.sender)
+			if fail == nil || !fail.CanForward || time.Since(start) != lostAfter {
+				t.Errorf("%s: got %+v after %s, want a call that may go through another node after %s", tt.name, fail, time.Since(start), lostAfter)
+			}
+			if got := len(f.sender.attempts); got != tt.attempts {
+				t.Errorf("%s: attempts: got %d, want %d", tt.name, got, tt.attempts)
+			}
+		})
+	}
+}
