Leave the trial of a held request to a node with a path

Few trials are taken of a held request, and a node without a path to the targets took one that it could not make. The node that the call went on to had received that the trial was taken, and refused the call.

Cause: the quarantine admitted a call before the path was checked.

Evidence: TestTrialIsLeftToNodeWithPath fails before: one trial at a node without a path, none wanted.

Fix: the path is checked first. The node that serves the call decides on it, from the same evidence.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -256,19 +256,17 @@
 	if !now.Before(c.Deadline) {
 		return nil, &CallFailure{Outcome: outcome.NotRun, Reason: outcome.DeadlinePassed}
 	}
-	// The tokens of a call without a path are those of the node that serves it.
-	isParted := svc.isPathLost()
-	if !isParted && !c.IsRelayed && !c.IsCounted {
+	// The node that serves a call without a path decides on it, and its tokens are that one's.
+	if svc.isPathLost() {
+		return nil, &CallFailure{Outcome: outcome.NotRun, Reason: outcome.PathLost, CanForward: !c.IsRelayed, Allowance: c.Allowance, IsCounted: c.IsCounted}
+	}
+	if !c.IsRelayed && !c.IsCounted {
 		svc.earnTokens()
 	}
 	suspect, fail := d.admitSuspect(c)
 	if fail != nil {
 		return nil, fail
 	}
-	if isParted {
-		suspect.leave()
-		return nil, &CallFailure{Outcome: outcome.NotRun, Reason: outcome.PathLost, CanForward: !c.IsRelayed, Allowance: c.Allowance, IsCounted: c.IsCounted}
-	}
 	permit, reason := svc.Gate.Acquire(ctx, admission.Request{
 		Urgency: c.Profile.Urgency, Caller: c.Caller, Deadline: c.Deadline, MaxWait: c.Profile.QueueTimeout,
 	})
