--- a/dispatch/path_test.go
+++ b/dispatch/path_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 
 	"github.com/apricotmount/apricotmount/quarantine"
+	"github.com/apricotmount/apricotmount/retry"
 )
 
 // trialQuarantine takes each copy of a request for a trial.
@@ -54,3 +55,16 @@
 		}
 	})
 }
+
+// Guards against a call that earns tokens for extra attempts at two nodes: at one without a
+// path and at the one that serves it.
+func TestCallWithoutPathEarnsNoTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLostFixture(t)
+		f.svc.ExtraAttemptBudget = &retry.Budget{Settings: retry.Settings{TokensPerCall: 1}}
+		f.do(t.Context(), newCall(idempotent()))
+		if f.svc.ExtraAttemptBudget.Spend() {
+			t.Error("tokens for extra attempts: got one, want none")
+		}
+	})
+}
