Return no quota of a tenant at a node that has not taken it

What callers saw: a tenant could send more calls than its quota while nodes have no path to the targets.

Cause: the node that a caller is connected to takes the call from the quota. A node that the call went on to, and that refused it, gave the quota back all the same.

Evidence: TestRelayedCallReturnsNoQuota fails before: one call after a relayed call that was not run, none wanted.

Fix: the tenant of a relayed call has no quota at the receiving node.

--- a/gateway/tenant.go
+++ b/gateway/tenant.go
@@ -80,12 +80,14 @@
 	}
 }
 
-// relayedTenant returns a request of another node with the tenant that this node has named.
+// relayedTenant returns a request of another node with the tenant that this node has named. The
+// tenant has no quota here: the other node has taken the call from it.
 func (n *Node) relayedTenant(r *http.Request) *http.Request {
 	plan := n.upstreams.active.Load().plan
 	if plan == nil || plan.Tenants == nil {
 		return r
 	}
-	t := plan.Tenants.Named(tenant.Name(r.Header.Get(n.entrySettings.Protocol.TenantHeader)))
-	return r.WithContext(tenant.WithContext(r.Context(), t))
+	t := *plan.Tenants.Named(tenant.Name(r.Header.Get(n.entrySettings.Protocol.TenantHeader)))
+	t.Quota = quota.Limit{}
+	return r.WithContext(tenant.WithContext(r.Context(), &t))
 }
