--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -121,6 +121,12 @@
 func newCrashyCluster(t *testing.T, nodeCount, targetCount int) (*testCluster, *crashyTargets) {
 	t.Helper()
 	c := newTestCluster(t)
+	return c, c.startCrashy(nodeCount, targetCount)
+}
+
+// startCrashy publishes a plan and starts crashy targets and ready, linked nodes.
+func (c *testCluster) startCrashy(nodeCount, targetCount int) *crashyTargets {
+	c.t.Helper()
 	ct := &crashyTargets{c: c}
 	c.putPlan(1, "a")
 	for i := range targetCount {
@@ -133,7 +139,7 @@
 		c.waitFor(waitTimeout, "a ready node", func() bool { return c.isReady(i) })
 	}
 	c.linkNodes()
-	return c, ct
+	return ct
 }
 
 // linkTime is long enough for nodes with each other's addresses to open their links.
--- a/gateway/parted_test.go
+++ b/gateway/parted_test.go
@@ -71,11 +71,7 @@
 	for i := range targetCount {
 		c.startTarget(fmt.Sprint("i-", i), "a", "east").WarmCallDuration = 20 * time.Millisecond
 	}
-	c.newDecoder = func() inventory.Decoder {
-		d := &proxiedDecoder{t: t, proxies: map[vm.Address]*platformtest.Proxy{}}
-		paths = append(paths, d)
-		return d
-	}
+	c.useProxies(&paths)
 	for range nodeCount {
 		c.startNode("east", c.storeAddress)
 	}
@@ -86,6 +82,16 @@
 	return c, paths
 }
 
+// useProxies makes the next nodes reach the targets through proxies, and appends their decoders
+// to paths.
+func (c *testCluster) useProxies(paths *[]*proxiedDecoder) {
+	c.newDecoder = func() inventory.Decoder {
+		d := &proxiedDecoder{t: c.t, proxies: map[vm.Address]*platformtest.Proxy{}}
+		*paths = append(*paths, d)
+		return d
+	}
+}
+
 // tally counts the calls of each node in a period.
 type tally struct {
 	mu           sync.Mutex
