--- a/relay/hop_test.go
+++ b/relay/hop_test.go
@@ -52,6 +52,14 @@
 	}
 }
 
+// Guards against a latency objective that starts anew at the node that serves a relayed call.
+func TestRelayedCallKeepsAge(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	if c, _ := relayAfter(t, wait); c.Age < wait {
+		t.Errorf("age at the other node: got %s, want at least %s", c.Age, wait)
+	}
+}
+
 // Guards against a call that one node has perhaps run, and that its caller is told was not run
 // because the next node refused it.
 func TestLostCallThatNextNodeRefusesIsUnknown(t *testing.T) {
