Show that a call changes its service at another node

TestRelayedCallStaysWithItsService fails: the node that serves a call chooses again among the services of its route. A node that reaches one of two services with equal weights sends a quarter of the calls to the other one, half is wanted.

--- a/gateway/hop_test.go
+++ b/gateway/hop_test.go
@@ -166,6 +166,30 @@
 	}
 }
 
+// Guards against a call that goes through another node and to another service there: the parts
+// of a route are no longer served by their weights.
+func TestRelayedCallStaysWithItsService(t *testing.T) {
+	t.Parallel()
+	c, runs := newHopCluster(t, true)
+	runs.mu.Lock()
+	clear(runs.count)
+	runs.mu.Unlock()
+	const calls = 200
+	served := 0
+	for i := range calls {
+		if status, _ := c.get(0, fmt.Sprint("/w/", i)); status == http.StatusOK {
+			served++
+		}
+	}
+	runs.mu.Lock()
+	defer runs.mu.Unlock()
+	got := float64(len(runs.count)) / calls
+	t.Logf("served %d of %d, share of service b %.2f", served, calls, got)
+	if got < 0.4 || got > 0.6 {
+		t.Errorf("share of the calls at service b: got %.2f, want 0.5", got)
+	}
+}
+
 // Guards against a call that is not idempotent and runs twice, or that has run and is reported
 // as not run, while the nodes that serve the calls of another one stop, as planned and at once,
 // and start again at their addresses.
