Show that the quota of a call that no other node has run is lost

TestForwardedCallReturnsQuota fails: the quota of a tenant after a call that was sent to other nodes and not run has none, one call is wanted. The end of such a call does not give the quota back.

--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -62,3 +62,14 @@
 		t.Error("quota after a relayed call that was not run: got one call, want none")
 	}
 }
+
+// Guards against quota that is lost with a call that no other node has run.
+func TestForwardedCallReturnsQuota(t *testing.T) {
+	n := newSpentNode(t)
+	r := newTenantRequest()
+	r = r.WithContext(tenant.WithContext(r.Context(), n.upstreams.active.Load().plan.Tenants.Named(quotaTenant)))
+	n.recordForwardEnd(entry.CallResult{Request: r, Outcome: outcome.NotRun})
+	if !hasQuota(t, n) {
+		t.Error("quota after a call that was not run: got none, want one call")
+	}
+}
