Show that the space of a body that breaks off is released twice

TestSpaceOfBrokenBodyIsReleasedOnce fails: after a body of 100 bytes that broke off, the space in use is -100 bytes, so that more is buffered than allowed. It held before parseRequest returned the reserved size with a rejection.

--- a/entry/duplex_test.go
+++ b/entry/duplex_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 )
 
 // Guards against a connection that closes without notice after a response that was written
@@ -44,3 +45,24 @@
 		}
 	}
 }
+
+// Guards against space for buffered bodies that is given back twice, so that more is buffered
+// than allowed.
+func TestSpaceOfBrokenBodyIsReleasedOnce(t *testing.T) {
+	h := newHarness(t, nonIdempotent())
+	ended := make(chan struct{})
+	h.handler.OnCallEnd = func(CallResult) { close(ended) }
+	conn, err := net.Dial("tcp", h.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(conn, "POST /s/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 100\r\n\r\nbody")
+	conn.Close()
+	<-ended
+	for deadline := time.Now().Add(5 * time.Second); h.handler.OpenCallCount() > 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if got := h.handler.bufferSpace.used.Load(); got != 0 {
+		t.Errorf("space in use after the call: got %d bytes, want 0", got)
+	}
+}
