Release the space of a body that breaks off once

What callers saw: after requests whose bodies broke off, a node buffered more bodies than its memory allows.

Cause: parseRequest releases the space that it reserved and returns its size, so the handler releases it again.

Fix: the handler releases the space of every request, when it has ended.

--- a/entry/request.go
+++ b/entry/request.go
@@ -66,7 +66,6 @@
 		return ok
 	})
 	if err != nil {
-		h.bufferSpace.release(in.reservedBytes)
 		return in, notRun(outcome.BodyBroken)
 	}
 	call := &dispatch.Call{
