Return the quota of a call that no other node has run

What callers saw: while nodes have no path to the targets, a tenant was refused for its quota although its calls were not run.

Cause: the end of a call that was sent through another node did not give its quota back.

Evidence: TestForwardedCallReturnsQuota fails before: no call left, one wanted.

Fix: the node that has taken a call from the quota gives it back, whichever node refused the call.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -68,6 +68,7 @@
 // recordForwardEnd logs the end of a call that went through another node, and adds it to the
 // metrics.
 func (n *Node) recordForwardEnd(e entry.CallResult) {
+	n.returnQuota(e)
 	if e.Service != "" {
 		n.gatewayMetrics.RecordCall(e.Service, e.Outcome, e.TotalDuration)
 	}
