Keep the service of a call at the node that serves it for another one

What callers saw: on a route with several services, calls of nodes that have lost the path to one of them went to the others more often than the weights say.

Cause: the node that serves a call chose again among the services of its route, also among those that the sending node reaches itself.

Fix: the sending node states the service. The receiving one uses it if the route has it in its own configuration, and chooses otherwise.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -28,6 +28,14 @@
 	Route(host, path string) (Route, bool)
 }
 
+// PartDirectory is a Directory whose routes may have several services.
+type PartDirectory interface {
+	Directory
+	// RoutePart looks up the route of a request with one of its services, or with another
+	// one if the route lacks that.
+	RoutePart(host, path string, s service.Name) (Route, bool)
+}
+
 // Pools looks up the connection pool of a target.
 type Pools interface {
 	// Pool returns the pool of a target, or nil if the target was removed.
@@ -163,7 +171,10 @@
 func (h *Handler) execute(w http.ResponseWriter, r *http.Request, in inboundCall, arrivedAt time.Time) *dispatch.CallFailure {
 	ctx, cancel := context.WithDeadline(r.Context(), in.call.Deadline)
 	defer cancel()
-	sender := &callSender{handler: h, inbound: r, body: in.body, w: w, hops: in.hops, isCounted: in.call.IsCounted}
+	sender := &callSender{
+		handler: h, inbound: r, body: in.body, w: w, hops: in.hops,
+		isCounted: in.call.IsCounted, service: in.route.Service.Name,
+	}
 	callResponse, callFailure := h.Dispatcher.Do(ctx, in.route.Dispatch, in.call, sender)
 	if callFailure != nil {
 		return callFailure
--- a/entry/header.go
+++ b/entry/header.go
@@ -27,6 +27,8 @@
 	HeaderMaxExtraAttempts = "Apricot-Further-Attempts"
 	// HeaderCounted states that the call has added its tokens to the budgets of another node.
 	HeaderCounted = "Apricot-Counted"
+	// HeaderService carries from node to node the service that was chosen for the call.
+	HeaderService = "Apricot-Service"
 	// HeaderExtraAttempts is the number of extra attempts made for this response.
 	HeaderExtraAttempts = "Apricot-Further-Spent"
 	// HeaderWaitMicros is the time that the call waited in the node, in
--- a/entry/request.go
+++ b/entry/request.go
@@ -9,6 +9,7 @@
 	"github.com/apricotmount/apricotmount/dispatch"
 	"github.com/apricotmount/apricotmount/outcome"
 	"github.com/apricotmount/apricotmount/retry"
+	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/tenant"
 )
 
@@ -35,7 +36,7 @@
 // parseRequest parses a request, or returns the reason for rejecting it.
 func (h *Handler) parseRequest(r *http.Request, now time.Time, isRelayed bool) (in inboundCall, failure outcome.Failure) {
 	in.isRelayed = isRelayed
-	route, ok := h.Directory.Route(HostWithoutPort(r.Host), r.URL.Path)
+	route, ok := h.route(r, isRelayed)
 	if !ok {
 		return in, notRun(outcome.NoService)
 	}
@@ -84,6 +85,17 @@
 	return in, failure
 }
 
+// route returns the route of a request. A call of another node stays with the service that was
+// chosen there, if the route still has it.
+func (h *Handler) route(r *http.Request, isRelayed bool) (Route, bool) {
+	host, path := HostWithoutPort(r.Host), r.URL.Path
+	d, ok := h.Directory.(PartDirectory)
+	if chosen := r.Header.Get(HeaderService); isRelayed && ok && chosen != "" {
+		return d.RoutePart(host, path, service.Name(chosen))
+	}
+	return h.Directory.Route(host, path)
+}
+
 // maxExtraAttempts returns the number of extra attempts that a call may make, limit at most. A
 // call of another node makes none unless that node states how many are left.
 func maxExtraAttempts(r *http.Request, limit int, isRelayed bool) int {
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/apricotmount/apricotmount/dispatch"
+	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/tenant"
 	"github.com/apricotmount/apricotmount/wire"
@@ -37,6 +38,8 @@
 	// usedConns are the connections over which an attempt got a response. A copy of it may
 	// still arrive there, with the ID of the call.
 	usedConns []*wire.Conn
+	// service is the service of the call.
+	service service.Name
 }
 
 // Send makes one attempt at a target.
@@ -193,12 +196,16 @@
 	}
 	header.Del(HeaderCounted)
 	header.Del(HeaderMaxExtraAttempts)
+	header.Del(HeaderService)
 	if s.handler.Settings.StateAttempts && (s.isCounted || a.IsRepeat) {
 		header.Set(HeaderCounted, countedValue)
 	}
 	if s.handler.Settings.StateAttempts || !s.handler.Settings.OmitProductHeaders {
 		header.Set(HeaderMaxExtraAttempts, strconv.Itoa(a.MaxExtraAttempts))
 	}
+	if s.handler.Settings.StateAttempts {
+		header.Set(HeaderService, string(s.service))
+	}
 	if !s.handler.Settings.OmitProductHeaders {
 		header.Set(HeaderHops, strconv.Itoa(s.hops+1))
 		setForwardedHeaders(header, s.inbound)
--- a/gateway/upstreams.go
+++ b/gateway/upstreams.go
@@ -100,6 +100,12 @@
 // Route returns the route of a request. If several services share it, weighted
 // round-robin picks one.
 func (u *upstreams) Route(host, path string) (entry.Route, bool) {
+	return u.RoutePart(host, path, "")
+}
+
+// RoutePart returns the route of a request with the given service, if the route has it, and
+// otherwise as Route does.
+func (u *upstreams) RoutePart(host, path string, part service.Name) (entry.Route, bool) {
 	cfg := u.active.Load()
 	if cfg.plan == nil {
 		return entry.Route{}, false
@@ -108,7 +114,10 @@
 	if route == nil {
 		return entry.Route{}, false
 	}
-	s := cfg.services[u.pickService(host, route)]
+	if !route.HasService(part) {
+		part = u.pickService(host, route)
+	}
+	s := cfg.services[part]
 	if s == nil {
 		return entry.Route{}, false
 	}
--- a/inventory/plan.go
+++ b/inventory/plan.go
@@ -73,6 +73,11 @@
 	}
 }
 
+// HasService reports whether a service serves a part of the route's calls.
+func (r *Route) HasService(name service.Name) bool {
+	return slices.ContainsFunc(r.Services, func(s WeightedService) bool { return s.Service == name })
+}
+
 // FindRoute returns the route of a request, or nil if none matches.
 func (p *Plan) FindRoute(host, path string) *Route {
 	routes := p.RoutesByHost[host]
