Count the time at the first node against the objective of a relayed call

What callers saw: calls that had waited at a node without a path waited for as long again at the node that served them, before calls that could still be served in time.

Cause: the latency objective of a call started anew at the serving node.

Fix: the sending node states the age of the call, and the serving one counts it against the objective.

--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -47,7 +47,7 @@
 	if r.isLate || r.possibleRunCount > 0 {
 		return max(time.Nanosecond, min(time.Duration(lateForecastRatio*float64(baseline)), time.Duration(lateDeadlineShare*float64(remaining))))
 	}
-	return max(time.Nanosecond, min(objective-time.Since(r.arrivedAt), remaining))
+	return max(time.Nanosecond, min(objective-r.call.Age-time.Since(r.arrivedAt), remaining))
 }
 
 // canWaitForCapacity reports whether a call without a target may wait for one: a
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -173,7 +173,7 @@
 	defer cancel()
 	sender := &callSender{
 		handler: h, inbound: r, body: in.body, w: w, hops: in.hops,
-		isCounted: in.call.IsCounted, service: in.route.Service.Name,
+		isCounted: in.call.IsCounted, service: in.route.Service.Name, age: in.call.Age, arrivedAt: arrivedAt,
 	}
 	callResponse, callFailure := h.Dispatcher.Do(ctx, in.route.Dispatch, in.call, sender)
 	if callFailure != nil {
--- a/entry/header.go
+++ b/entry/header.go
@@ -27,6 +27,9 @@
 	HeaderMaxExtraAttempts = "Apricot-Further-Attempts"
 	// HeaderCounted states that the call has added its tokens to the budgets of another node.
 	HeaderCounted = "Apricot-Counted"
+	// HeaderAge carries from node to node the time since the caller first sent the call, in
+	// milliseconds.
+	HeaderAge = "Apricot-Age-Ms"
 	// HeaderService carries from node to node the service that was chosen for the call.
 	HeaderService = "Apricot-Service"
 	// HeaderExtraAttempts is the number of extra attempts made for this response.
--- a/entry/request.go
+++ b/entry/request.go
@@ -79,6 +79,9 @@
 		IsRelayed:      isRelayed,
 		IsCounted:      isRelayed && r.Header.Get(HeaderCounted) != "",
 	}
+	if isRelayed {
+		call.Age, _, _ = parseRemainingTime(r.Header, HeaderAge)
+	}
 	call.Identity = &identity{caller: h.callerIdentity(r), inbound: r, body: b}
 	call.Claim, failure = h.claim(r, route, b)
 	in.route, in.call, in.body, in.hops = route, call, b, hops
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -40,6 +40,10 @@
 	usedConns []*wire.Conn
 	// service is the service of the call.
 	service service.Name
+	// service is the service of the call, and age its age when it arrived, at arrivedAt.
+	service   service.Name
+	age       time.Duration
+	arrivedAt time.Time
 }
 
 // Send makes one attempt at a target.
@@ -196,6 +200,7 @@
 	}
 	header.Del(HeaderCounted)
 	header.Del(HeaderMaxExtraAttempts)
+	header.Del(HeaderAge)
 	header.Del(HeaderService)
 	if s.handler.Settings.StateAttempts && (s.isCounted || a.IsRepeat) {
 		header.Set(HeaderCounted, countedValue)
@@ -204,6 +209,7 @@
 		header.Set(HeaderMaxExtraAttempts, strconv.Itoa(a.MaxExtraAttempts))
 	}
 	if s.handler.Settings.StateAttempts {
+		header.Set(HeaderAge, strconv.FormatInt((s.age+time.Since(s.arrivedAt)).Milliseconds(), 10))
 		header.Set(HeaderService, string(s.service))
 	}
 	if !s.handler.Settings.OmitProductHeaders {
