Use full duplex for the bodies that are streamed to a target only

What callers saw: a connection that closed without notice after a response to a request with a body that was not read, such as one to an unknown route.

Cause: the handler used full duplex for each request. If the body was not read when the response ends, net/http reads its rest and then panics with "invalid concurrent Body.Read call".

Evidence: TestConnectionOutlivesResponseBeforeBody fails before.

Fix: full duplex begins when a streamed body is first sent to a target. A request that was refused before is read to its end, or its response announces that the connection closes.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -146,10 +146,6 @@
 		w.Header().Set("Connection", "close")
 	}
 	arrivedAt := time.Now()
-	// Without full duplex, net/http reads the rest of the request body before it
-	// writes the response. An error is ignored: a connection that does not support
-	// full duplex keeps that behaviour.
-	_ = http.NewResponseController(w).EnableFullDuplex()
 	in, rejection := h.parseRequest(r, arrivedAt, isRelayed)
 	defer func() { h.bufferSpace.release(in.reservedBytes) }()
 	if rejection.Reason != "" {
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -190,6 +190,15 @@
 
 // newRequest builds the outgoing request of one attempt.
 func (s *callSender) newRequest(ctx context.Context, a dispatch.Attempt) *http.Request {
+	if !s.body.isReplayable() {
+		// Without full duplex, net/http reads the rest of the body before it writes the
+		// response. An error is ignored: a connection that does not support full duplex keeps
+		// that behaviour.
+		_ = http.NewResponseController(s.w).EnableFullDuplex()
+	}
+	if trace := s.clientTrace(); trace != nil {
+		ctx = httptrace.WithClientTrace(ctx, trace)
+	}
 	header := s.inbound.Header.Clone()
 	stripHopByHop(header)
 	caller := tenant.FromContext(s.inbound.Context())
