Close the connection if the rest of a streamed body is not read

What callers saw: 400 or 503 for the next request on a connection, after a target had responded before it had read a whole upload. A request within the rest of the body was handled.

Cause: when the handler returns, net/http aborts the read of the goroutine that sends the body, does not find the end of the body, and reads the next request from the middle of it.

Fix: if a body that is sent was not read to its end when the target has responded, the response announces that the connection closes.

--- a/entry/body.go
+++ b/entry/body.go
@@ -17,6 +17,8 @@
 	// prefix is the stream too, which keeps its beginning; nil if the body is buffered.
 	prefix *prefixReader
 	length int64
+	// isStreaming reports whether the stream was sent.
+	isStreaming bool
 }
 
 // bufferSpace bounds the total size of the bodies that a node buffers at a time. Many
@@ -59,11 +61,17 @@
 	return b.stream == nil
 }
 
+// isPartlySent reports whether the body is streamed and was not read to its end when it was sent.
+func (b *body) isPartlySent() bool {
+	return b.isStreaming && !b.prefix.isRead(b.length)
+}
+
 // open returns the body for one attempt, or nil if there is none. The returned
 // reader has a type that net/http cannot rewind, so net/http cannot resend it.
 func (b *body) open() io.ReadCloser {
 	switch {
 	case b.stream != nil:
+		b.isStreaming = true
 		return io.NopCloser(b.stream)
 	case b.length == 0:
 		return nil
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -172,6 +172,10 @@
 		isCounted: in.call.IsCounted, service: in.route.Service.Name, age: in.call.Age, arrivedAt: arrivedAt,
 	}
 	callResponse, callFailure := h.Dispatcher.Do(ctx, in.route.Dispatch, in.call, sender)
+	if in.body.isPartlySent() {
+		// The rest of the body could not be told from the next request.
+		w.Header().Set("Connection", "close")
+	}
 	if callFailure != nil {
 		return callFailure
 	}
--- a/entry/identity.go
+++ b/entry/identity.go
@@ -23,6 +23,8 @@
 	// peeked holds the bytes that peek has read and Read has not returned yet.
 	peeked []byte
 	atEnd  bool
+	// size is the number of bytes that were read.
+	size int64
 }
 
 // Read returns the peeked bytes and then those of the stream.
@@ -49,6 +51,7 @@
 func (p *prefixReader) keep(b []byte, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.size += int64(len(b))
 	p.prefix = append(p.prefix, b[:min(len(b), prefixBytes-len(p.prefix))]...)
 	p.atEnd = p.atEnd || err == io.EOF
 }
@@ -74,6 +77,14 @@
 	return p.prefix, p.atEnd || len(p.prefix) == prefixBytes
 }
 
+// isRead reports whether a stream of the given length, which is negative if unknown, was read to
+// its end.
+func (p *prefixReader) isRead(length int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.atEnd || length >= 0 && p.size >= length
+}
+
 // credentialHeaders are the headers by which targets distinguish callers.
 var credentialHeaders = []string{"Authorization", "Cookie"}
 
