State in one place what a node passes on of a call

The sender now holds the call as it was parsed, and one function states its extra attempts, age, service and count, and removes a caller's headers of these names.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -72,9 +72,9 @@
 	// OmitProductHeaders omits the product's own headers from requests to targets and
 	// responses to callers.
 	OmitProductHeaders bool
-	// StateAttempts states in requests how many extra attempts the receiver may make and
-	// whether the call was counted, also with OmitProductHeaders.
-	StateAttempts bool
+	// StatesCall states in requests, also with OmitProductHeaders, what another node needs to
+	// go on with a call: its extra attempts, age and service, and whether it was counted.
+	StatesCall bool
 }
 
 const (
@@ -167,10 +167,7 @@
 func (h *Handler) execute(w http.ResponseWriter, r *http.Request, in inboundCall, arrivedAt time.Time) *dispatch.CallFailure {
 	ctx, cancel := context.WithDeadline(r.Context(), in.call.Deadline)
 	defer cancel()
-	sender := &callSender{
-		handler: h, inbound: r, body: in.body, w: w, hops: in.hops,
-		isCounted: in.call.IsCounted, service: in.route.Service.Name, age: in.call.Age, arrivedAt: arrivedAt,
-	}
+	sender := &callSender{handler: h, inbound: r, inboundCall: in, arrivedAt: arrivedAt, w: w}
 	callResponse, callFailure := h.Dispatcher.Do(ctx, in.route.Dispatch, in.call, sender)
 	if in.body.isPartlySent() {
 		// The rest of the body could not be told from the next request.
--- a/entry/response.go
+++ b/entry/response.go
@@ -211,7 +211,7 @@
 	for name := range r.resp.Trailer {
 		header.Add("Trailer", name)
 	}
-	if h.Settings.StateAttempts {
+	if h.Settings.StatesCall {
 		header.Del(HeaderExtraAttempts)
 	}
 	if callResponse.IsRelayed() || !h.Settings.OmitProductHeaders {
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/apricotmount/apricotmount/dispatch"
-	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/tenant"
 	"github.com/apricotmount/apricotmount/wire"
@@ -27,23 +26,15 @@
 type callSender struct {
 	handler *Handler
 	inbound *http.Request
-	body    *body
-	w       http.ResponseWriter
-	hops    int
-	// isCounted is that of the call.
-	isCounted bool
+	inboundCall
+	arrivedAt time.Time
+	w         http.ResponseWriter
 	hints     hintWriter
 
 	mu sync.Mutex
 	// usedConns are the connections over which an attempt got a response. A copy of it may
 	// still arrive there, with the ID of the call.
 	usedConns []*wire.Conn
-	// service is the service of the call.
-	service service.Name
-	// service is the service of the call, and age its age when it arrived, at arrivedAt.
-	service   service.Name
-	age       time.Duration
-	arrivedAt time.Time
 }
 
 // Send makes one attempt at a target.
@@ -196,9 +187,6 @@
 		// that behaviour.
 		_ = http.NewResponseController(s.w).EnableFullDuplex()
 	}
-	if trace := s.clientTrace(); trace != nil {
-		ctx = httptrace.WithClientTrace(ctx, trace)
-	}
 	header := s.inbound.Header.Clone()
 	stripHopByHop(header)
 	caller := tenant.FromContext(s.inbound.Context())
@@ -207,20 +195,7 @@
 	if expect := s.handler.protocol().ExpectHeader; expect != "" {
 		header.Set(expect, string(a.Target.ID))
 	}
-	header.Del(HeaderCounted)
-	header.Del(HeaderMaxExtraAttempts)
-	header.Del(HeaderAge)
-	header.Del(HeaderService)
-	if s.handler.Settings.StateAttempts && (s.isCounted || a.IsRepeat) {
-		header.Set(HeaderCounted, countedValue)
-	}
-	if s.handler.Settings.StateAttempts || !s.handler.Settings.OmitProductHeaders {
-		header.Set(HeaderMaxExtraAttempts, strconv.Itoa(a.MaxExtraAttempts))
-	}
-	if s.handler.Settings.StateAttempts {
-		header.Set(HeaderAge, strconv.FormatInt((s.age+time.Since(s.arrivedAt)).Milliseconds(), 10))
-		header.Set(HeaderService, string(s.service))
-	}
+	s.stateCall(header, a)
 	if !s.handler.Settings.OmitProductHeaders {
 		header.Set(HeaderHops, strconv.Itoa(s.hops+1))
 		setForwardedHeaders(header, s.inbound)
@@ -244,6 +219,27 @@
 	return out.WithContext(ctx)
 }
 
+// stateCall states in the headers of a request to another node what the nodes before it have done
+// with the call. A caller's own headers of these names are not forwarded.
+func (s *callSender) stateCall(header http.Header, a dispatch.Attempt) {
+	for _, name := range []string{HeaderCounted, HeaderMaxExtraAttempts, HeaderAge, HeaderService} {
+		header.Del(name)
+	}
+	settings := s.handler.Settings
+	if settings.StatesCall || !settings.OmitProductHeaders {
+		header.Set(HeaderMaxExtraAttempts, strconv.Itoa(a.MaxExtraAttempts))
+	}
+	if !settings.StatesCall {
+		return
+	}
+	age := s.call.Age + time.Since(s.arrivedAt)
+	header.Set(HeaderAge, strconv.FormatInt(age.Milliseconds(), 10))
+	header.Set(HeaderService, string(s.route.Service.Name))
+	if s.call.IsCounted || a.IsRepeat {
+		header.Set(HeaderCounted, countedValue)
+	}
+}
+
 // setForwardedHeaders adds the caller's address and the original host to the
 // outgoing headers.
 func setForwardedHeaders(h http.Header, inbound *http.Request) {
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -68,7 +68,7 @@
 	settings := cfg.Callers.Settings
 	callers := settings.Protocol
 	settings.Protocol = protocol(cfg.Callers.DeadlineHeader())
-	settings.StateAttempts = true
+	settings.StatesCall = true
 	settings.Protocol.KeyHeader, settings.Protocol.TenantHeader = callers.KeyHeader, callers.TenantHeader
 	s.protocol = settings.Protocol
 	s.service = &dispatch.Service{
