State a hedge among the extra attempts of its call

Calls through another node ran at four targets where their route allows three. The number of extra attempts in a response was taken before the hedge of that response was charged, so a node that had hedged a relayed call stated one too few, and the sender kept an attempt that had been made. TestHedgeAtOtherNodeIsNotCharged failed before with 4 targets in most calls where 3 are allowed. The number is now taken after the charge.

--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -34,6 +34,7 @@
 		cancel()
 		return nil, failure
 	}
+	resp.ExtraAttempts = r.allowance.Spent()
 	// The contexts must outlive the response's body.
 	resp.cancel = func() {
 		cancel()
--- /dev/null
+++ b/relay/hedge_test.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/apricotmount/apricotmount/profile"
+	"github.com/apricotmount/apricotmount/retry"
+)
+
+// newHedgingFleet returns a fleet of three nodes whose calls are hedged after a few milliseconds.
+func newHedgingFleet(t *testing.T, p profile.Profile) *testFleet {
+	t.Helper()
+	const latencyCount, latency = 100, 5 * time.Millisecond
+	p.Idempotent, p.Hedge, p.HedgePercentile = true, true, profile.DefaultHedgePercentile
+	f := newTestFleet(t, p, 3, 12)
+	for _, n := range f.nodes {
+		n.service.ExtraAttemptBudget.SetSettings(retry.Settings{TokensPerCall: 1000, Burst: 1000})
+		n.service.ExtraAttemptBudget.Earn()
+		for range latencyCount {
+			n.service.Latencies.Observe(time.Now(), latency)
+		}
+	}
+	return f
+}
+
+// Guards against a node that does not state the hedge of a relayed call among its extra attempts,
+// so that the sender goes beyond the call's limit of targets.
+func TestHedgeAtOtherNodeIsNotCharged(t *testing.T) {
+	const maxRetries = 2
+	f := newHedgingFleet(t, profile.Profile{CallTimeout: 5 * time.Second, AttemptTimeout: time.Second, MaxRetries: maxRetries})
+	f.respond = func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	f.nodes[0].path.set(true)
+	for i := range 5 {
+		id := fmt.Sprint("call-", i)
+		f.call(0, id)
+		if got := f.runCount(id); got > maxRetries+1 {
+			t.Errorf("targets that ran a call: got %d, want at most %d", got, maxRetries+1)
+		}
+	}
+}
