Charge a copy once if the path is lost before it is sent

An idempotent call on a route with two attempts ended with 502 though its second attempt was left: the retry was charged, the path turned out to be lost before it was sent, and the copy for the other node was charged again, to the call's allowance and to the budget of the service. A copy that was paid for and has reached no target now pays for the one through another node. TestRetryIsChargedTwiceWhenPathIsLost failed before with 502. The property test of the bounds passes.

--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -111,6 +111,7 @@
 	r.roundRefusalCount++
 	if r.roundRefusalCount < maxAttemptsPerRound && r.dispatcher.spendRefusalRetryToken(r.service) {
 		r.dispatcher.countExtraAttempt(outcome.RetryTargetRefused)
+		r.isNextPaid = true
 		return ""
 	}
 	if r.service.ExtraAttemptBudget != nil {
@@ -173,7 +174,8 @@
 	case !r.spendRepeatToken():
 		r.dispatcher.countExtraAttempt(outcome.ForgoneNoTokens)
 	default:
-		return r.allowance.Spend()
+		r.isNextPaid = r.allowance.Spend()
+		return r.isNextPaid
 	}
 	return false
 }
--- a/dispatch/path.go
+++ b/dispatch/path.go
@@ -22,7 +22,8 @@
 }
 
 // canForward reports whether a call that ends for the given reason may be sent through
-// another node. It charges the copy if an earlier one has reached a target.
+// another node. It charges the copy if an earlier one has reached a target, unless a retry was
+// paid for that could not be sent.
 func (r *run) canForward(reason outcome.Reason) bool {
 	// A call that reached none of several targets need not wait until the path is known to
 	// be lost.
@@ -31,6 +32,8 @@
 		return false
 	}
 	switch {
+	case r.isNextPaid:
+		return true
 	case r.mayHaveRun:
 		return r.chargeRetry()
 	case r.hasReached:
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -38,6 +38,8 @@
 	hasAttempted bool
 	// hasReached reports whether an attempt has reached a target, which ran or refused it.
 	hasReached bool
+	// isNextPaid reports whether a copy was paid for that has not reached a target yet.
+	isNextPaid bool
 	// hasEarned reports whether a relayed call has added its tokens to the budgets.
 	hasEarned bool
 	// hasTriedCanary reports whether it was decided if the call goes to a new version.
@@ -202,6 +204,7 @@
 // budgets then, if it has not done so at another node: until then another one may serve it.
 func (r *run) markReached() {
 	r.hasReached = true
+	r.isNextPaid = false
 	if r.call.IsRelayed && !r.call.IsCounted && !r.hasEarned {
 		r.hasEarned = true
 		r.service.earnTokens()
