Draw hedges in the property test of calls through nodes

The test passed without the charge of a hedge at another node, since it drew no hedges. It draws them for half of the seeds with idempotent calls and many tokens.

--- a/relay/bounds_test.go
+++ b/relay/bounds_test.go
@@ -123,6 +123,7 @@
 	for seed := range uint64(seedCount) {
 		d := newFaults(seed)
 		p := profile.Profile{Idempotent: d.draw(0.7), CallTimeout: 3 * time.Second, AttemptTimeout: time.Second, MaxRetries: d.intN(6)}
+		p.Hedge, p.HedgePercentile = p.Idempotent && d.draw(0.5), profile.DefaultHedgePercentile
 		f := newTestFleetWith(t, p, 3+d.intN(4), 12, d.breakPeers)
 		// Few tokens try the fleet's sum, many the limit of each call.
 		tokensPerCall := []float64{0.02, 20}[seed%2]
@@ -132,6 +133,9 @@
 		}
 		for _, n := range f.nodes {
 			n.service.ExtraAttemptBudget.SetSettings(retry.Settings{TokensPerCall: tokensPerCall, Burst: 1000})
+			if p.Hedge && tokensPerCall > 1 {
+				enableHedges(n, 500*time.Microsecond)
+			}
 		}
 		f.isRefused = func() bool { return d.refuse(f) }
 		f.respond = d.serveTarget(f)
--- a/relay/hedge_test.go
+++ b/relay/hedge_test.go
@@ -13,19 +13,25 @@
 // newHedgingFleet returns a fleet of three nodes whose calls are hedged after a few milliseconds.
 func newHedgingFleet(t *testing.T, p profile.Profile) *testFleet {
 	t.Helper()
-	const latencyCount, latency = 100, 5 * time.Millisecond
+	const latency = 5 * time.Millisecond
 	p.Idempotent, p.Hedge, p.HedgePercentile = true, true, profile.DefaultHedgePercentile
 	f := newTestFleet(t, p, 3, 12)
 	for _, n := range f.nodes {
 		n.service.ExtraAttemptBudget.SetSettings(retry.Settings{TokensPerCall: 1000, Burst: 1000})
-		n.service.ExtraAttemptBudget.Earn()
-		for range latencyCount {
-			n.service.Latencies.Observe(time.Now(), latency)
-		}
+		enableHedges(n, latency)
 	}
 	return f
 }
 
+// enableHedges gives a node the latencies and tokens that hedges need.
+func enableHedges(n *fleetNode, latency time.Duration) {
+	const count = 100
+	for range count {
+		n.service.Latencies.Observe(time.Now(), latency)
+		n.service.ExtraAttemptBudget.Earn()
+	}
+}
+
 // Guards against a node that does not state the hedge of a relayed call among its extra attempts,
 // so that the sender goes beyond the call's limit of targets.
 func TestHedgeAtOtherNodeIsNotCharged(t *testing.T) {
