--- a/dispatch/hedge_test.go
+++ b/dispatch/hedge_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apricotmount/apricotmount/retry"
+	"github.com/apricotmount/apricotmount/target"
 )
 
 // decisionLog records the decisions on calls. It is safe for concurrent use.
@@ -94,3 +95,42 @@
 		})
 	}
 }
+
+// chargingSender charges each cancelled attempt with all that was granted to it.
+type chargingSender struct{ *fakeSender }
+
+func (s chargingSender) Send(ctx context.Context, a Attempt) (Response, *AttemptFailure) {
+	response, failure := s.fakeSender.Send(ctx, a)
+	if failure != nil && failure.Result == target.Cancelled {
+		failure.ExtraAttempts = a.MaxExtraAttempts
+	}
+	return response, failure
+}
+
+// Guards against a first attempt whose hedge responded first and which may have been repeated
+// below, without a charge to the call.
+func TestAttemptsBelowReplacedAttemptAreCharged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxRetries = 4
+		f := newHedgingFixture(t, func(n int, _ Attempt) action {
+			if n == 1 {
+				return action{delay: 900 * time.Millisecond}
+			}
+			return action{delay: time.Millisecond, isServerError: true}
+		})
+		for range 20 {
+			f.svc.RetryBudget.Earn()
+		}
+		p := idempotent()
+		p.Hedge, p.HedgePercentile, p.MaxRetries = true, 95, maxRetries
+		resp, _ := f.Do(t.Context(), f.svc, newCall(p), chargingSender{f.sender})
+		if resp != nil {
+			resp.Finish(target.Answered)
+		}
+		synctest.Wait()
+		granted := f.sender.attempts[0].MaxExtraAttempts
+		if got := len(f.sender.attempts) + granted; got > maxRetries+1 {
+			t.Errorf("attempts, those that the first one may have caused below included: got %d, want at most %d", got, maxRetries+1)
+		}
+	})
+}
