Read status 421 as the refusal of a node only with the mark of one

A target's own 421, which went through another node, was read as that node's refusal: an unsafe call was sent to further targets. It could not happen where requests name the target that they are meant for, since such a 421 is a refusal. Between nodes the typed headers decide now. TestMisdirectedStatusOfTargetIsReadAsRefusalByNode failed before.

--- a/wire/protocol.go
+++ b/wire/protocol.go
@@ -39,7 +39,8 @@
 	// in milliseconds.
 	ColdHeader string
 	// ExpectHeader carries to the target the instance that the call is meant for;
-	// another instance refuses the call with status 421.
+	// another instance refuses the call with status 421, which with OutcomeHeader needs
+	// the mark of a refusal too, since it may be that of a target.
 	ExpectHeader string
 	// IDHeader carries the call ID, which targets echo. A response with another
 	// ID, or none, belongs to another call or to a probe.
@@ -216,7 +217,7 @@
 
 // IsRefusal reports whether a response proves that the call was not started.
 func (p Protocol) IsRefusal(resp *http.Response) bool {
-	if p.ExpectHeader != "" && resp.StatusCode == http.StatusMisdirectedRequest {
+	if p.ExpectHeader != "" && p.OutcomeHeader == "" && resp.StatusCode == http.StatusMisdirectedRequest {
 		return true
 	}
 	value, isMarked := resp.Header[http.CanonicalHeaderKey(p.RefusalHeader)]
@@ -226,7 +227,7 @@
 // IsMisdirected reports whether the response came from another process than the
 // expected one.
 func (p Protocol) IsMisdirected(resp *http.Response) bool {
-	return p.ExpectHeader != "" && resp.StatusCode == http.StatusMisdirectedRequest
+	return p.ExpectHeader != "" && resp.StatusCode == http.StatusMisdirectedRequest && p.IsRefusal(resp)
 }
 
 // idMatches reports whether a response carries the call's ID. A refusal needs it too: one
