Keep copies through another node from new versions

Only the first attempt of a call may go to a new version. A copy through another node was a first attempt there: 2 attempts of one call went to the new version, 1 was wanted (TestCopyThroughOtherNodeGoesToNewVersion failed). The statement that the call was counted tells the receiver.

--- a/dispatch/canary.go
+++ b/dispatch/canary.go
@@ -32,7 +32,7 @@
 // a target has a free slot.
 func (r *run) pickCanary(ctx context.Context) (reservation target.Reservation, ok bool) {
 	canary := r.service.Canary
-	if canary == nil || r.hasAttempted || r.hasTriedCanary {
+	if canary == nil || r.hasAttempted || r.hasTriedCanary || r.call.IsCounted {
 		return target.Reservation{}, false
 	}
 	r.hasTriedCanary = true
