Charge a lost response only with the attempts that were granted

Where requests do not state how many extra attempts the receiver may make, a lost response was charged all the same with half of what was left: a call on a route with three targets reached two at most, and fewer calls could be forwarded. TestLostResponseIsChargedMoreThanItsAttempt failed before with 2 attempts, 3 wanted.

--- a/entry/sender.go
+++ b/entry/sender.go
@@ -119,7 +119,7 @@
 	case !written:
 		f.Result = target.ConnectFailed
 	}
-	if written {
+	if written && s.statesAttempts() {
 		// The number of extra attempts made by load balancers downstream is
 		// unknown; assume the maximum.
 		f.ExtraAttempts = a.MaxExtraAttempts
@@ -219,17 +219,22 @@
 	return out.WithContext(ctx)
 }
 
+// statesAttempts reports whether requests state how many extra attempts the receiver may make. One
+// that gets no such statement makes none for the call.
+func (s *callSender) statesAttempts() bool {
+	return s.handler.Settings.StatesCall || !s.handler.Settings.OmitProductHeaders
+}
+
 // stateCall states in the headers of a request to another node what the nodes before it have done
 // with the call. A caller's own headers of these names are not forwarded.
 func (s *callSender) stateCall(header http.Header, a dispatch.Attempt) {
 	for _, name := range []string{HeaderCounted, HeaderMaxExtraAttempts, HeaderAge, HeaderService} {
 		header.Del(name)
 	}
-	settings := s.handler.Settings
-	if settings.StatesCall || !settings.OmitProductHeaders {
+	if s.statesAttempts() {
 		header.Set(HeaderMaxExtraAttempts, strconv.Itoa(a.MaxExtraAttempts))
 	}
-	if !settings.StatesCall {
+	if !s.handler.Settings.StatesCall {
 		return
 	}
 	age := s.call.Age + time.Since(s.arrivedAt)
