Charge a replaced attempt with what it was granted below

If a hedge responds first, the first attempt is cancelled, and load balancers below may have repeated it: 7 attempts where 5 are allowed (TestAttemptsBelowReplacedAttemptAreCharged failed). It is charged like one whose response is lost.

--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -58,6 +58,7 @@
 	}
 	if hedged, ok := h.waitForResponse(); ok {
 		r.mayHaveRun = true
+		r.allowance.ChargeDownstream(failure.ExtraAttempts)
 		r.service.Latencies.Observe(now, now.Sub(reservation.StartedAt))
 		r.dispatcher.countExtraAttempt(outcome.RetryHedgeWon)
 		return r.callResponse(hedged.response, hedged.reservation), nil
