Let the refusal of one call not keep a node from others

A node that lacked one route, or could not read one request, was not sent any call for a second: 503 on routes that all nodes have (TestRefusalOfRouteKeepsNodeFromOtherRoutes failed).

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -56,6 +56,9 @@
 	}
 	r.allowance.ChargeDownstream(f.ExtraAttempts)
 	r.excluded = append(r.excluded, reservation.Ref.ID)
+	if f.Reason != "" && f.Report.RetryAfter == 0 {
+		r.declining = append(r.declining, reservation.Ref.ID)
+	}
 	notRun := !f.Written || f.Result == target.Refused
 	if notRun && r.call.Claim != nil {
 		r.call.Claim.UndoUse()
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -30,6 +30,8 @@
 	switch {
 	case status == target.PickNoTarget:
 		return outcome.NoTarget
+	case status == target.PickNoneAvailable && len(r.declining) > 0:
+		return outcome.TargetsRefused
 	case status == target.PickOnlyCold:
 		return r.waitBackoff(ctx, outcome.OnlyColdTargets)
 	case status == target.PickLimited:
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -25,6 +25,9 @@
 	// excluded lists the targets that the next choice excludes.
 	excluded          []vm.ID
 	roundRefusalCount int
+	// declining lists the nodes that have refused this call for a reason that lies with the
+	// call; they stay excluded.
+	declining []vm.ID
 	// backoff is the mean delay before the next round; zero before the first one.
 	backoff             time.Duration
 	connectFailureCount int
@@ -147,7 +150,7 @@
 
 // pickOptions returns the options for choosing the target of the next attempt.
 func (r *run) pickOptions() target.PickOptions {
-	return target.PickOptions{Exclude: r.excluded, Route: string(r.call.Profile.Name), Objective: r.call.Profile.LatencyObjective, MaxForecast: r.forecastLimit(), IsWaiting: r.hasWaited, AvoidLimited: r.mustYieldTurn()}
+	return target.PickOptions{Exclude: append(r.excluded[:len(r.excluded):len(r.excluded)], r.declining...), Route: string(r.call.Profile.Name), Objective: r.call.Profile.LatencyObjective, MaxForecast: r.forecastLimit(), IsWaiting: r.hasWaited, AvoidLimited: r.mustYieldTurn()}
 }
 
 // capacityFailure returns the result of a call for which no target has capacity in
--- a/relay/open_test.go
+++ b/relay/guard_test.go
@@ -97,3 +97,18 @@
 		t.Errorf("call: got status %d and %d attempts at the new version, want 200 and 1", w.Code, got)
 	}
 }
+
+// Guards against a call that is offered to the same nodes again and again although they lack its
+// route.
+func TestCallWithoutRouteIsOfferedOnceToEachNode(t *testing.T) {
+	f := newTestFleet(t, profile.Profile{CallTimeout: 5 * time.Second, AttemptTimeout: time.Second}, 4, 4)
+	f.nodes[0].path.set(true)
+	var offers atomic.Int64
+	for _, n := range f.nodes[1:] {
+		n.lacksRoute.Store(true)
+		n.receiver.OnRefusal = func(*http.Request, string, Refusal) { offers.Add(1) }
+	}
+	if w := f.call(0, "call"); w.Code != http.StatusServiceUnavailable || offers.Load() > 3 {
+		t.Errorf("call: got status %d after %d offers, want 503 after 3 at most", w.Code, offers.Load())
+	}
+}
--- a/relay/receiver.go
+++ b/relay/receiver.go
@@ -56,6 +56,16 @@
 	NotReady Refusal = "not-ready"
 )
 
+// isOfCall reports whether a refusal concerns one call or route, so that the node may take others.
+func (r Refusal) isOfCall() bool {
+	switch outcome.Reason(r) {
+	case outcome.NoService, outcome.BadDeadline, outcome.BodyBroken:
+		return true
+	default:
+		return false
+	}
+}
+
 // OpenCallCount returns the number of relayed calls in progress.
 func (rc *Receiver) OpenCallCount() int64 {
 	return rc.openCalls.Load()
--- a/relay/response.go
+++ b/relay/response.go
@@ -56,7 +56,9 @@
 	rc.writeState(w, outcome.NotRun)
 	w.Header().Set(headerRefused, refusedBeforeStart)
 	w.Header().Set(headerReason, string(reason))
-	w.Header().Set("Retry-After", retryAfterSeconds)
+	if !reason.isOfCall() {
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
 	status := http.StatusServiceUnavailable
 	if reason == OtherNode {
 		status = http.StatusMisdirectedRequest
