Await a stopped hedge before its call is retried

The race detector found, in the property test with hedges, that a retry after a server error changed the excluded targets while a hedge that had just been stopped read them, and that a call going through another node added a header while the hedge copied the headers; the runtime ends a process in which it notices the latter. A hedge was not awaited once the first attempt had a response. It is now awaited before a retry; it has been cancelled by then, so it ends soon.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -100,6 +100,7 @@
 
 	run         *run
 	reservation target.Reservation
+	hedge       *hedge
 	cancel      func()
 }
 
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -87,6 +87,7 @@
 	if !resp.Response.IsServerError() || !r.call.Profile.Idempotent || !r.chargeRetry() {
 		return false
 	}
+	resp.hedge.await()
 	r.dispatcher.countExtraAttempt(outcome.RetryServerFailed)
 	r.mayHaveRun = true
 	r.runCount++
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -35,6 +35,7 @@
 		return nil, failure
 	}
 	resp.ExtraAttempts = r.allowance.Spent()
+	resp.hedge = h
 	// The contexts must outlive the response's body.
 	resp.cancel = func() {
 		cancel()
@@ -303,6 +304,19 @@
 	}
 }
 
+// await waits until a hedge that was stopped has ended, which uses the state of its call until then.
+func (h *hedge) await() {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	started := h.started
+	h.mu.Unlock()
+	if started {
+		<-h.done
+	}
+}
+
 // failure returns the failure of a hedge that has ended, or nil.
 func (h *hedge) failure() *AttemptFailure {
 	if h == nil {
