State no extra attempts for a call that is not idempotent

A node decides by its own configuration whether a call may be repeated. One with an older configuration, in which the route was idempotent, repeated a call of a node with the newer one: 2 runs of a call that may run once (TestCallIsRepeatedByOlderConfiguration failed). The sender now states that none is left.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -6,6 +6,7 @@
 
 	"github.com/apricotmount/apricotmount/dispatch"
 	"github.com/apricotmount/apricotmount/outcome"
+	"github.com/apricotmount/apricotmount/retry"
 )
 
 // Forwarder sends calls through other nodes.
@@ -16,13 +17,17 @@
 }
 
 // forward sends a call through another node after it failed here for lack of a path. Its
-// deadline and what is left of its allowance stay as they are, and so does it that a copy may
-// have run. It returns the failure of a call for which it has not written a response.
+// deadline and what is left of its allowance stay as they are, and its outcome is unknown if a
+// copy may have run here. It returns the failure of a call for which it has not written a response.
 func (h *Handler) forward(w http.ResponseWriter, r *http.Request, in inboundCall, former *dispatch.CallFailure, arrivedAt time.Time) *dispatch.CallFailure {
 	next, route := h.Forwarder.Forward(in.route, r)
 	call := *in.call
 	call.Profile = route.Profile
 	call.Allowance, call.IsCounted = former.Allowance, former.IsCounted
+	if !call.Profile.Idempotent {
+		// The configuration of the other node may differ.
+		call.Allowance = retry.NewAllowance(0)
+	}
 	call.RepeatBudget = in.route.Dispatch.ExtraAttemptBudget
 	call.Claim, call.Identity = nil, nil
 	in.route, in.call = route, &call
--- a/relay/guard_test.go
+++ b/relay/guard_test.go
@@ -112,3 +112,18 @@
 		t.Errorf("call: got status %d after %d offers, want 503 after 3 at most", w.Code, offers.Load())
 	}
 }
+
+// Guards against a node whose configuration calls a route idempotent that is not so any more: it
+// would repeat a call of a node that has the newer one.
+func TestCallIsRepeatedByOlderConfiguration(t *testing.T) {
+	f := newTestFleet(t, profile.Profile{CallTimeout: 5 * time.Second, AttemptTimeout: time.Second, MaxRetries: 3}, 2, 4)
+	f.nodes[0].path.set(true)
+	older := *f.nodes[1].route.Profile
+	older.Idempotent = true
+	f.nodes[1].route.Profile = &older
+	f.nodes[1].service.ExtraAttemptBudget.Earn()
+	f.respond = loseResponse
+	if w := f.call(0, "call"); w.Code != http.StatusBadGateway || f.runCount("call") != 1 {
+		t.Errorf("call: got status %d and %d targets that ran it, want 502 and 1", w.Code, f.runCount("call"))
+	}
+}
