--- a/relay/hedge_test.go
+++ b/relay/hedge_test.go
@@ -50,3 +50,21 @@
 		}
 	}
 }
+
+// Guards against a call that waits for its hedge on a path that is lost before it goes through
+// another node.
+func TestHedgeOnLostPathDelaysCall(t *testing.T) {
+	const attemptTimeout, maxDelay = 4 * time.Second, 2 * time.Second
+	f := newHedgingFleet(t, profile.Profile{CallTimeout: 8 * time.Second, AttemptTimeout: attemptTimeout, MaxRetries: 3})
+	f.respond = func(_ http.ResponseWriter, r *http.Request) {
+		if !f.nodes[0].path.IsLost() {
+			<-r.Context().Done()
+		}
+	}
+	time.AfterFunc(300*time.Millisecond, func() { f.nodes[0].path.set(true) })
+	start := time.Now()
+	w := f.call(0, "call")
+	if took := time.Since(start); w.Code != http.StatusOK || took > maxDelay {
+		t.Errorf("call: got status %d after %v, want 200 within %v", w.Code, took.Round(time.Millisecond), maxDelay)
+	}
+}
