--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -103,8 +103,9 @@
 	}
 }
 
-// LiesWithNode reports whether a call was not run for a reason that lies with the node alone:
-// another one may serve it.
+// LiesWithNode reports whether a call that another node has sent was not run for a reason that
+// lies with the node alone: a third one may serve it. The first node has found no fault in the
+// call's deadline, headers and key.
 func LiesWithNode(r Reason) bool {
 	switch r {
 	case NoService, BadDeadline, TooDeep, NodeFull, NoTarget, ConnectFailed, PathLost, NodeStopping, UpgradeRefused, BodyBroken, NoPlan, KeyMissing, KeyInvalid:
