Count relayed calls of members only

A request of an unknown sender counted among the relayed calls in progress until it was refused, so that foreign requests could take the room of members.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -25,7 +25,7 @@
 	call.Profile = route.Profile
 	call.Allowance, call.IsCounted = former.Allowance, former.IsCounted
 	if !call.Profile.Idempotent {
-		// The configuration of the other node may differ.
+		// By an older configuration of the other node, the call could be repeated.
 		call.Allowance = retry.NewAllowance(0)
 	}
 	call.RepeatBudget = in.route.Dispatch.ExtraAttemptBudget
--- a/relay/receiver.go
+++ b/relay/receiver.go
@@ -90,9 +90,12 @@
 // serve serves a relayed call.
 func (rc *Receiver) serve(w http.ResponseWriter, r *http.Request, to vm.ID) {
 	from := r.RemoteAddr
-	defer rc.openCalls.Add(-1)
-	openCalls := rc.openCalls.Add(1)
-	if reason := rc.refusal(from, to, openCalls); reason != "" {
+	reason := rc.refusalOfSender(from, to)
+	if reason == "" {
+		defer rc.openCalls.Add(-1)
+		reason = rc.refusalForLoad(rc.openCalls.Add(1))
+	}
+	if reason != "" {
 		rc.reportRefusal(r, from, reason)
 		rc.refuse(w, reason)
 		return
@@ -119,15 +122,24 @@
 	}
 }
 
-// refusal returns why this node does not take a call from the given address, or "". openCalls
-// counts the relayed calls in progress, this one included.
-func (rc *Receiver) refusal(from string, to vm.ID, openCalls int64) Refusal {
+// refusalOfSender returns why this node does not take a call from the given address for the given
+// node, or "".
+func (rc *Receiver) refusalOfSender(from string, to vm.ID) Refusal {
 	ip, _, err := net.SplitHostPort(from)
 	switch {
 	case err != nil || !rc.IsMember(ip):
 		return UnknownSender
 	case to != rc.Self:
 		return OtherNode
+	default:
+		return ""
+	}
+}
+
+// refusalForLoad returns why this node takes no call of other nodes now, or "". openCalls counts
+// the relayed calls in progress, this one included.
+func (rc *Receiver) refusalForLoad(openCalls int64) Refusal {
+	switch {
 	case openCalls > maxOpenCalls:
 		return TooManyCalls
 	case !rc.CanServe():
