Check that no call goes to a node of an earlier build

Such a node names itself in another header and states no outcomes. The stand-in of one in TestCallGoesThroughNodeThatTakesIt now sends that header, and fails the test if it gets a relayed call.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -88,7 +88,13 @@
 	h, sender := newSendingHandler(t, false)
 	var got atomic.Pointer[http.Request]
 	refuses := startReceiver(t, "node-1", func() bool { return false }, nil)
-	earlierBuild := httptest.NewServer(http.NotFoundHandler())
+	earlierBuild := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Its responses state no outcome.
+		w.Header().Set("Apricot-Relay-Instance", "1")
+		if r.Header.Get(headerTo) != "" {
+			t.Error("relayed call at a node of an earlier build: got one, want none")
+		}
+	}))
 	t.Cleanup(earlierBuild.Close)
 	unaware := vm.VM{ID: "node-0", Address: vm.Address(earlierBuild.Listener.Addr().String()), Zone: "east", Role: vm.RoleEntry}
 	takes := startReceiver(t, "node-2", always, func(w http.ResponseWriter, r *http.Request) {
