Charge a replaced attempt that has a response with what that states

A call whose first attempt and hedge responded at the same time ended with a panic, and its caller's connection closed without a response. TestHedgeAndFirstAttemptRespondTogether ended with the panic before.

--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -59,7 +59,7 @@
 	}
 	if hedged, ok := h.waitForResponse(); ok {
 		r.mayHaveRun = true
-		r.allowance.ChargeDownstream(failure.ExtraAttempts)
+		r.allowance.ChargeDownstream(attemptsBelow(response, failure))
 		r.service.Latencies.Observe(now, now.Sub(reservation.StartedAt))
 		r.dispatcher.countExtraAttempt(outcome.RetryHedgeWon)
 		return r.callResponse(hedged.response, hedged.reservation), nil
@@ -71,6 +71,15 @@
 	return nil, failure
 }
 
+// attemptsBelow returns the number of extra attempts that are charged for the layers below an
+// attempt with the given response or failure.
+func attemptsBelow(response Response, failure *AttemptFailure) int {
+	if failure != nil {
+		return failure.ExtraAttempts
+	}
+	return response.ExtraAttempts()
+}
+
 // hedge is a second attempt in parallel with the first one; it may never start. A
 // nil *hedge means that no hedge was scheduled.
 type hedge struct {
--- a/dispatch/hedge_test.go
+++ b/dispatch/hedge_test.go
@@ -134,3 +134,23 @@
 		}
 	})
 }
+
+// Guards against a call that ends with a panic because its first attempt and its hedge respond at
+// the same time, and the response of the hedge is used.
+func TestHedgeAndFirstAttemptRespondTogether(t *testing.T) {
+	const callCount, duration = 200, 25 * time.Millisecond
+	for range callCount {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			f := newHedgingFixture(t, func(int, Attempt) action { return action{delay: time.Until(start.Add(duration))} })
+			p := idempotent()
+			p.Hedge, p.HedgePercentile = true, 95
+			resp, fail := f.Do(t.Context(), f.svc, newCall(p), f.sender)
+			if fail != nil || time.Since(start) != duration {
+				t.Fatalf("call: got %+v after %s, want a response after %s", fail, time.Since(start), duration)
+			}
+			resp.Finish(target.Answered)
+			synctest.Wait()
+		})
+	}
+}
