--- a/event/event.go
+++ b/event/event.go
@@ -42,6 +42,7 @@
 	MembershipLost = register(110, "membership-lost", zap.WarnLevel, "A request to renew or end the node's membership or to list the members failed; the last known members stay in use.")
 	NodeReloaded   = register(107, "node-reloaded", zap.InfoLevel, "The settings file was reloaded.")
 	SettingsBad    = register(108, "settings-bad", zap.ErrorLevel, "The settings file is invalid; the previous settings stay active.")
+	NodeIncomplete = register(111, "node-incomplete", zap.WarnLevel, "The node has started and cannot serve yet; the fields state whether it has a plan, whether it has received how far the targets topic was read, which of its copies of the topics are complete, and its links and known nodes. The line is repeated every second.")
 	NodePaused     = register(106, "node-paused", zap.WarnLevel, "The process or VM was paused for the duration in the field stood; claims and cold-start leases that expired meanwhile are not used.")
 )
 
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/replica"
 )
 
 // logReadinessChange logs the node's readiness if it differs from what was logged last.
@@ -21,6 +22,23 @@
 	event.NodeUnready.Log(n.logger, zap.Bool("leaving", n.isLeaving.Load()))
 }
 
+// incompleteLogInterval is the time between two log lines that state why the node cannot
+// serve.
+const incompleteLogInterval = time.Second
+
+// logIncomplete logs which parts of the state a node lacks that has not been able to serve
+// for incompleteLogInterval, and returns when it may log again.
+func (n *Node) logIncomplete(now, due time.Time) (nextDue time.Time) {
+	if n.isInitialized() || now.Before(due) {
+		return due
+	}
+	c := n.state.Completeness()
+	event.NodeIncomplete.Log(n.logger, zap.Bool("plan", c.HasPlan), zap.Bool("targets-mark", c.HasTargetsMark),
+		zap.Bool("operator-complete", c.IsComplete[replica.Operator]), zap.Bool("targets-complete", c.IsComplete[replica.Targets]),
+		zap.Int("links", len(n.hub.Links())), zap.Int("nodes", len(n.state.FleetNodes(now))))
+	return now.Add(incompleteLogInterval)
+}
+
 // applyIfChanged makes the current state active in the upstreams, unless that is done.
 // Sorting and comparing all targets is most of the work of an idle node.
 func (n *Node) applyIfChanged(now time.Time) {
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -237,8 +237,10 @@
 // runMaintenance closes idle connections, drops retained targets that have expired,
 // logs dropped log lines and updates the gauges, regularly until ctx ends.
 func (n *Node) runMaintenance(ctx context.Context) {
+	incompleteDue := time.Now().Add(incompleteLogInterval)
 	for ctx.Err() == nil {
 		pause.For(ctx, maintenanceInterval)
+		incompleteDue = n.logIncomplete(time.Now(), incompleteDue)
 		n.upstreams.closeIdleConns(time.Now())
 		n.sender.CloseIdle(time.Now())
 		n.closeIdleCallerConns(time.Now())
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -26,6 +26,7 @@
 		reason string
 	}{
 		{"no plan", nil, "", http.StatusServiceUnavailable, "no-plan"},
+		{"no list of targets", &inventory.Plan{}, "", http.StatusServiceUnavailable, "no-target-list"},
 		{"long body", &inventory.Plan{Limits: inventory.Limits{MaxBodyBytes: 10}}, strings.Repeat("x", 11), http.StatusRequestEntityTooLarge, "body-too-long"},
 		{"long headers", &inventory.Plan{Limits: inventory.Limits{MaxHeaderBytes: 5}}, "", http.StatusRequestHeaderFieldsTooLarge, "headers-too-long"},
 	}
@@ -39,7 +40,8 @@
 					logger: zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{MessageKey: "msg"}), zapcore.AddSync(&lines), zapcore.DebugLevel)),
 				}
 				n.upstreams.active.Store(&activeConfig{plan: tt.plan})
-				if tt.plan != nil {
+				isInitialized := tt.plan != nil && tt.reason != "no-target-list"
+				if isInitialized {
 					close(n.initialized)
 				}
 				r := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader(tt.body))
@@ -49,8 +51,8 @@
 				if got := w.Code; got != tt.status {
 					t.Errorf("status: got %d, want %d", got, tt.status)
 				}
-				if got := w.Header().Get("Retry-After"); (got != "") != (tt.plan == nil) {
-					t.Errorf("Retry-After: got %q, want a value only without a plan", got)
+				if got := w.Header().Get("Retry-After"); (got != "") == isInitialized {
+					t.Errorf("Retry-After: got %q, want a value only without a plan or targets", got)
 				}
 				if got := lines.String(); !strings.Contains(got, `"call-1"`) || !strings.Contains(got, tt.reason) {
 					t.Errorf("log: got %q, want the call's ID and %q", got, tt.reason)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -22,13 +22,13 @@
 	retryAfterSeconds = "0.2"
 )
 
-// serveCaller handles a request of a caller. Without a plan it responds with status 503
-// and not 404, since the existing routes are unknown.
+// serveCaller handles a request of a caller. Without a plan or the list of targets it
+// responds with status 503 and not 404, since the existing routes are unknown.
 func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
 	plan := n.waitForPlan(r.Context())
 	if plan == nil {
 		w.Header().Set("Retry-After", retryAfterSeconds)
-		n.refuse(w, r, http.StatusServiceUnavailable, outcome.NoPlan)
+		n.refuse(w, r, http.StatusServiceUnavailable, n.incompleteReason())
 		return
 	}
 	if status, reason := plan.Limits.Check(r); reason != "" {
@@ -60,6 +60,14 @@
 	w.WriteHeader(status)
 }
 
+// incompleteReason returns the reason why a node that is not initialized refuses calls.
+func (n *Node) incompleteReason() outcome.Reason {
+	if n.upstreams.active.Load().plan == nil {
+		return outcome.NoPlan
+	}
+	return outcome.NoTargetList
+}
+
 // isInitialized reports whether the node has been able to serve at least once.
 func (n *Node) isInitialized() bool {
 	select {
--- a/logbook/losses.go
+++ b/logbook/losses.go
@@ -33,7 +33,7 @@
 var causeByReason = map[string]Cause{
 	"targets-refused": TargetsRefused, "caller-gone": CallerGone, "caller-gone-after-send": CallerGone,
 	"answer-lost": ResponseLost, "attempt-timeout": ResponseLost, "answer-unframed": ResponseLost, "connect-failed": ResponseLost, "path-lost": ResponseLost,
-	"no-plan": NodeNotReady, "no-service": NodeNotReady, "no-target": NodeNotReady, "node-stopping": NodeNotReady,
+	"no-plan": NodeNotReady, "no-target-list": NodeNotReady, "no-service": NodeNotReady, "no-target": NodeNotReady, "node-stopping": NodeNotReady,
 }
 
 // heldShare is the share of a call's objective from which a refused call counts as held.
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -43,8 +43,9 @@
 	ClaimLapsed       Reason = "claim-lapsed"      // the claim expired before the send
 	CallerGone        Reason = "caller-gone"
 	UpgradeRefused    Reason = "upgrade-refused"
-	BodyBroken        Reason = "body-broken" // the request body could not be read
-	NoPlan            Reason = "no-plan"     // no operator configuration has been received
+	BodyBroken        Reason = "body-broken"    // the request body could not be read
+	NoPlan            Reason = "no-plan"        // no operator configuration has been received
+	NoTargetList      Reason = "no-target-list" // the list of targets has not been received
 	BodyTooLong       Reason = "body-too-long"
 	HeadersTooLong    Reason = "headers-too-long"
 	OverQuota         Reason = "over-quota"        // the tenant has used up its quota
@@ -67,7 +68,7 @@
 	NoService, BadDeadline, DeadlinePassed, DeadlineTooClose, TooDeep, QueueFull, QueueTimeout,
 	DisplacedByUrgent, NodeFull, NoTarget, OnlyColdTargets, TargetsRefused, TargetsLimited, Quarantined, ConnectFailed, PathLost, NodeStopping, KeyMissing,
 	KeyInvalid, KeyReused, KeyTooOld, ClaimUnavailable, ClaimsBehind, ClaimLapsed, CallerGone,
-	UpgradeRefused, BodyBroken, NoPlan, BodyTooLong, HeadersTooLong, OverQuota, QuotaUnavailable, UnknownKey, KeyUnverified,
+	UpgradeRefused, BodyBroken, NoPlan, NoTargetList, BodyTooLong, HeadersTooLong, OverQuota, QuotaUnavailable, UnknownKey, KeyUnverified,
 }
 
 // UnknownReasons lists all reasons for the outcome Unknown.
@@ -108,7 +109,7 @@
 // call's deadline, headers and key.
 func LiesWithNode(r Reason) bool {
 	switch r {
-	case NoService, BadDeadline, TooDeep, NodeFull, NoTarget, ConnectFailed, PathLost, NodeStopping, UpgradeRefused, BodyBroken, NoPlan, KeyMissing, KeyInvalid:
+	case NoService, BadDeadline, TooDeep, NodeFull, NoTarget, ConnectFailed, PathLost, NodeStopping, UpgradeRefused, BodyBroken, NoPlan, NoTargetList, KeyMissing, KeyInvalid:
 		return true
 	default:
 		return false
