--- /dev/null
+++ b/backup/restore.go
@@ -0,0 +1,64 @@
+package backup
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/apricotmount/apricotmount/replica"
+)
+
+// ErrNone is returned if no partition holds a snapshot.
+var ErrNone = eris.New("there is no snapshot")
+
+// read returns what a partition holds. A value that is malformed counts as none.
+func read(ctx context.Context, store Store, t replica.Topic, p Partition) (h held, err error) {
+	value, end, err := store.ReadBackup(ctx, t, p)
+	if err != nil {
+		return held{}, err
+	}
+	h.end = end
+	if len(value) == 0 {
+		return h, nil
+	}
+	if s, err := Decode(t, value); err == nil {
+		h.snapshot = s
+	}
+	return h, nil
+}
+
+// Latest reads all partitions of the backup topic of t and returns the latest snapshot, and the
+// number of partitions that responded. It returns ErrNone if none of these holds one, and the
+// error of a call if no partition responded.
+func Latest(ctx context.Context, store Store, t replica.Topic, partitionCount int) (latest Snapshot, responded int, err error) {
+	defer func() { err = eris.Wrapf(err, "restore %s", t) }()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for p := range partitionCount {
+		wg.Go(func() {
+			h, readErr := read(ctx, store, t, Partition(p))
+			mu.Lock()
+			defer mu.Unlock()
+			if readErr != nil {
+				err = readErr
+				return
+			}
+			responded++
+			if h.snapshot.Compare(latest) > 0 {
+				latest = h.snapshot
+			}
+		})
+	}
+	wg.Wait()
+	switch {
+	case responded == 0:
+		return Snapshot{}, 0, err
+	case latest.EndOffset == 0:
+		return Snapshot{}, responded, ErrNone
+	default:
+		return latest, responded, nil
+	}
+}
--- a/cmd/apricotmount/platform.go
+++ b/cmd/apricotmount/platform.go
@@ -68,7 +68,7 @@
 	store := platform.NewStore(s.StoreAddress, s.PartitionsPerTopic)
 	store.Logger = logger
 	n := gateway.NewNode(s, gateway.Dependencies{
-		Store: store, Statuses: store, Decoder: platform.RecordDecoder{}, EntrySettings: platform.EntrySettings,
+		Store: store, Statuses: store, Backups: store, Decoder: platform.RecordDecoder{}, EntrySettings: platform.EntrySettings,
 		RequestIDHeader: platform.RequestIDHeader, Logger: logger, Metrics: metrics.NewRegistry(),
 		DroppedLogLines: sink.TakeDroppedCount,
 	})
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/apricotmount/apricotmount/backup"
 	"github.com/apricotmount/apricotmount/canary"
 	"github.com/apricotmount/apricotmount/dispatch"
 	"github.com/apricotmount/apricotmount/entry"
@@ -40,7 +41,9 @@
 	Store Store
 	// Statuses holds the statuses of roll-outs.
 	Statuses canary.Store
-	Decoder  inventory.Decoder
+	// Backups, if set, holds copies of the topics in other partitions of the store.
+	Backups backup.Store
+	Decoder inventory.Decoder
 	// EntrySettings holds the HTTP settings towards callers and targets.
 	EntrySettings entry.Settings
 	// RequestIDHeader is the name of the header with a call's ID, which is logged.
@@ -60,6 +63,7 @@
 	reloadable      atomic.Pointer[Settings]
 	entrySettings   entry.Settings
 	store           Store
+	backups         backup.Store
 	logger          *zap.Logger
 	registry        *metrics.Registry
 	gatewayMetrics  *metrics.Gateway
@@ -126,7 +130,7 @@
 
 // NewNode returns a node that is not started yet.
 func NewNode(s Settings, d Dependencies) *Node {
-	n := &Node{settings: s, entrySettings: d.EntrySettings, store: d.Store, logger: d.Logger.With(zap.String("node", s.Name)), droppedLogLines: d.DroppedLogLines, registry: d.Metrics, requestIDHeader: d.RequestIDHeader}
+	n := &Node{settings: s, entrySettings: d.EntrySettings, store: d.Store, backups: d.Backups, logger: d.Logger.With(zap.String("node", s.Name)), droppedLogLines: d.DroppedLogLines, registry: d.Metrics, requestIDHeader: d.RequestIDHeader}
 	n.reloadable.Store(&s)
 	n.entrySettings.MaxBufferedBytes = int64(bufferedBodyShare * s.MemoryLimitMB * (1 << 20))
 	n.initialized = make(chan struct{})
--- a/gateway/node_test.go
+++ b/gateway/node_test.go
@@ -91,7 +91,7 @@
 	s := gateway.Settings{
 		IsFirstFleetStart: isFirstFleetStart,
 		Name:              fmt.Sprint("node-", len(c.nodes)), Zone: z, CallerAddress: freeAddress(c.t), ReadinessAddress: freeAddress(c.t), MetricsAddress: freeAddress(c.t),
-		PeerAddress: peerAddress, GracePeriod: 2 * time.Second, StoreAddress: store,
+		PeerAddress: peerAddress, GracePeriod: 2 * time.Second, StoreAddress: store, PartitionsPerTopic: platformtest.PartitionsPerTopic,
 		ExtraAttempts: gateway.ExtraAttemptLimit{AttemptsPerCall: 0.2, BaseAttempts: 56, Window: 10 * time.Second},
 	}
 	if c.advertise != nil {
@@ -107,7 +107,7 @@
 		decoder = c.newDecoder()
 	}
 	n := gateway.NewNode(s, gateway.Dependencies{
-		Store: client, Statuses: statuses, Decoder: decoder, EntrySettings: platform.EntrySettings,
+		Store: client, Statuses: statuses, Backups: statuses, Decoder: decoder, EntrySettings: platform.EntrySettings,
 		RequestIDHeader: platform.RequestIDHeader, Logger: zap.NewNop(), Metrics: metrics.NewDiscardRegistry(),
 	})
 	if err := n.Start(); err != nil {
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -46,7 +46,9 @@
 func (n *Node) readStore(ctx context.Context) {
 	n.waitForPeers(ctx)
 	for t := range replica.TopicCount {
-		n.goroutines.Go(func() { (&topicReader{node: n, topic: t}).run(ctx) })
+		r := &topicReader{node: n, topic: t, backup: n.newBackupLoop(t)}
+		n.goroutines.Go(func() { r.backup.run(ctx) })
+		n.goroutines.Go(func() { r.run(ctx) })
 	}
 }
 
@@ -54,6 +56,8 @@
 type topicReader struct {
 	node  *Node
 	topic replica.Topic
+	// backup saves what this node has read.
+	backup *backupLoop
 	// isAway reports whether the last call failed.
 	isAway bool
 	// isReplaced reports whether a reader with a lower ID was active before the last read
@@ -66,6 +70,7 @@
 	for ctx.Err() == nil {
 		r.waitUntilStale(ctx)
 		if err := r.readUntilReplaced(ctx); err != nil {
+			r.node.restore(ctx, r.topic)
 			r.backOff(ctx, err)
 		}
 	}
@@ -90,6 +95,7 @@
 		return err
 	}
 	r.isReplaced = false
+	r.backup.notifyRead()
 	r.beginTurn(ctx, start)
 	defer r.node.isReading[r.topic].Store(false)
 	for {
@@ -107,8 +113,10 @@
 			err = r.readAll(ctx, 0)
 		}
 		if err != nil {
+			r.backup.notifyLost()
 			return err
 		}
+		r.backup.notifyRead()
 	}
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -229,8 +229,22 @@
 // All returns the records that another copy needs to become equal to this one, ordered by
 // key and position.
 func (c *Copy) All() []Record {
+	return c.recordsWhere(func(keyState) bool { return true })
+}
+
+// Live returns the records of All but those of deleted keys, as a listing of the store.
+func (c *Copy) Live() []Record {
+	return c.recordsWhere(func(k keyState) bool { return !k.effective().Deleted })
+}
+
+// recordsWhere returns the records of the keys for which matches returns true, ordered by key and
+// position.
+func (c *Copy) recordsWhere(matches func(keyState) bool) []Record {
 	records := make([]Record, 0, len(c.records))
 	for _, state := range c.records {
+		if !matches(state) {
+			continue
+		}
 		if state.kept != nil {
 			records = append(records, state.kept.Record)
 		}
