Send only calls that end before a planned stop does

Cause: a stopping node did not compare how long a call may take with how long it lasts itself. Targets are told to end before the node does. A node that stops keeps a target's error in place of a retry that it cannot make.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -10,14 +10,15 @@
 // attempt sends the call to a reserved target. On a failure it finishes the
 // reservation immediately. isRepeat states that an earlier attempt may have run.
 func (r *run) attempt(ctx context.Context, reservation target.Reservation, maxExtraAttempts int, isRepeat bool) (Response, *AttemptFailure) {
-	headerDeadline := earliest(r.call.Deadline, time.Now().Add(r.call.Profile.AttemptTimeout))
+	ownDeadline, targetDeadline := r.attemptDeadlines()
+	headerDeadline := earliest(ownDeadline, time.Now().Add(r.call.Profile.AttemptTimeout))
 	if reservation.IsCold {
 		headerDeadline = earliest(headerDeadline, reservation.LeaseDeadline)
 	}
 	response, failure := r.sender.Send(ctx, Attempt{
 		Target:            reservation.Ref,
 		HeaderDeadline:    headerDeadline,
-		Deadline:          r.call.Deadline.Add(-layerOverhead),
+		Deadline:          targetDeadline,
 		MaxExtraAttempts:  maxExtraAttempts,
 		IsRepeat:          isRepeat,
 		RequireRecentRead: !r.call.Profile.Idempotent,
@@ -30,11 +31,11 @@
 }
 
 // maySend is the last check before the first byte is written. It reports whether
-// the deadline has not passed, the request is not held, the target still accepts work and
-// the claim, if any, could be used.
+// the deadline has not passed, the response arrives before a planned stop ends, the request is
+// not held, the target still accepts work and the claim, if any, could be used.
 func (r *run) maySend(reservation target.Reservation) bool {
 	now := time.Now()
-	if !now.Before(r.call.Deadline) || r.suspect.isHeld() || !r.service.Table.CanSend(reservation, now) {
+	if !now.Before(r.call.Deadline) || !r.endsBeforeStop(now, reservation.Forecast) || r.suspect.isHeld() || !r.service.Table.CanSend(reservation, now) {
 		return false
 	}
 	if r.call.Claim == nil {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -57,7 +57,8 @@
 	// Backlog orders the calls that wait for capacity.
 	Backlog admission.Backlog
 
-	turnQueue turnQueue
+	turnQueue     turnQueue
+	responseTimes responseTimes
 }
 
 // ExtraAttemptCounter counts extra attempts, made or skipped, by reason.
@@ -80,6 +81,8 @@
 
 	// isStopping ends calls before their next attempt.
 	isStopping atomic.Bool
+	// stopEnd is the end of a planned stop; nil without one.
+	stopEnd atomic.Pointer[time.Time]
 }
 
 // EndWaiting ends all calls that wait for capacity, and those that arrive from now on.
@@ -200,6 +203,9 @@
 func (c *CallResponse) Finish(result target.Result) {
 	r := c.run
 	now := time.Now()
+	if result == target.Answered {
+		r.service.responseTimes.observe(now, r.call.Profile.Name, now.Sub(c.reservation.StartedAt))
+	}
 	if result == target.Answered && c.Response.IsServerError() {
 		result = target.ServerFailed
 	}
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -81,10 +81,10 @@
 	}
 }
 
-// retryServerFailure discards a server error (5xx) if the call can be retried, and
-// reports whether it did.
+// retryServerFailure discards a server error (5xx) if the call can be retried before a
+// planned stop ends, and reports whether it did.
 func (r *run) retryServerFailure(resp *CallResponse) bool {
-	if !resp.Response.IsServerError() || !r.call.Profile.Idempotent || !r.chargeRetry() {
+	if !resp.Response.IsServerError() || !r.call.Profile.Idempotent || !r.endsBeforeStop(time.Now(), 0) || !r.chargeRetry() {
 		return false
 	}
 	resp.hedge.await()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -106,6 +106,10 @@
 			}
 			continue
 		}
+		if !r.endsBeforeStop(time.Now(), reservation.Forecast) {
+			r.service.Table.Finish(reservation, time.Now(), target.Cancelled, target.Report{})
+			return nil, r.callFailure(outcome.NodeStopping)
+		}
 		r.releaseLateCall(true)
 		r.leaveBacklog(true)
 		r.leaveTurnQueue()
@@ -180,7 +184,7 @@
 	if r.suspect.isHeld() {
 		return outcome.Quarantined
 	}
-	if r.dispatcher.isStopping.Load() {
+	if r.dispatcher.isStopping.Load() || !r.endsBeforeStop(time.Now(), 0) {
 		return outcome.NodeStopping
 	}
 	if r.service.isPathLost() {
@@ -200,7 +204,11 @@
 	if r.call.Claim != nil {
 		r.call.Claim.Release()
 	}
-	return &CallFailure{Outcome: outcome.NotRun, Reason: reason, ExtraAttempts: r.allowance.Spent(), HasReached: r.hasReached, CanForward: canForward, Allowance: r.allowance, IsCounted: true}
+	fail := &CallFailure{Outcome: outcome.NotRun, Reason: reason, ExtraAttempts: r.allowance.Spent(), HasReached: r.hasReached, CanForward: canForward, Allowance: r.allowance, IsCounted: true}
+	if reason == outcome.NodeStopping {
+		fail.RetryAfter = stopRetryAfter
+	}
+	return fail
 }
 
 // markReached records that an attempt has reached a target. A relayed call adds its tokens to the
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -35,12 +35,16 @@
 	n.logReadinessChange()
 	n.handler.SetDraining()
 	n.hub.Broadcast(peer.Message{Left: []vm.ID{n.self.ID}}, nil)
-	start := time.Now()
+	// A later change of the settings must not end the stop sooner than calls were promised.
+	grace := n.reloadable.Load().GracePeriod
+	end := time.Now().Add(grace - stopMargin)
+	n.handler.Dispatcher.BeginStop(end.Add(-responseMargin))
+	n.sender.BeginStop(end.Add(-responseMargin))
 	n.goroutines.Go(n.leave)
-	pause.For(ctx, acceptDuration(n.reloadable.Load().GracePeriod))
-	ctx, cancel := context.WithDeadline(ctx, start.Add(n.reloadable.Load().GracePeriod-stopMargin))
+	pause.For(ctx, acceptDuration(grace))
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	endWaiting := time.AfterFunc(time.Until(start.Add(n.reloadable.Load().GracePeriod-stopMargin-waitEndMargin)), n.handler.Dispatcher.EndWaiting)
+	endWaiting := time.AfterFunc(time.Until(end.Add(-waitEndMargin)), n.handler.Dispatcher.EndWaiting)
 	defer endWaiting.Stop()
 	err := n.callerServer.Drain(ctx)
 	n.waitForRelayed(ctx)
@@ -61,6 +65,10 @@
 // Stop.
 const stopMargin = 300 * time.Millisecond
 
+// responseMargin is the time before the end of the calls in progress at which an attempt that
+// is still open is given up, so that its caller gets a response.
+const responseMargin = 100 * time.Millisecond
+
 // waitEndMargin is the time before the end of the calls in progress at which those that still
 // wait for capacity are refused: each checks ten times a second whether it may be sent.
 const waitEndMargin = 300 * time.Millisecond
--- a/node/stop.go
+++ b/node/stop.go
@@ -24,6 +24,9 @@
 	leaveTimeout = 2 * time.Second
 	// leaveSendDelay is the time given to the links to send the last message.
 	leaveSendDelay = 20 * time.Millisecond
+	// responseMargin is the time before StopTimeout at which an attempt that is still open
+	// is given up, so that its caller gets a response.
+	responseMargin = 100 * time.Millisecond
 )
 
 // Stop ends the node in a planned way: it becomes unready, accepts calls for the
@@ -38,6 +41,7 @@
 	n.isReady.Store(false)
 	n.callerHandler.SetDraining()
 	n.members.Update(func(e *member.Entry) { e.Status = member.Leaving })
+	n.callerHandler.Dispatcher.BeginStop(time.Now().Add(n.settings.StopTimeout - responseMargin))
 	ctx, cancel := context.WithTimeout(ctx, n.settings.StopTimeout)
 	defer cancel()
 	pause.For(ctx, n.settings.StopGrace)
--- a/relay/sender.go
+++ b/relay/sender.go
@@ -85,6 +85,11 @@
 	return s
 }
 
+// BeginStop makes the Sender send only calls whose responses arrive before end.
+func (s *Sender) BeginStop(end time.Time) {
+	s.handler.Dispatcher.BeginStop(end)
+}
+
 // SetNodes sets the nodes through which calls are sent: all of the fleet but this one. The IDs
 // of nodes, sorted, are given too: the nodes of a large fleet seldom change.
 func (s *Sender) SetNodes(nodes []vm.VM, sortedIDs []vm.ID, self vm.ID, now time.Time) {
