--- a/backup/backup_test.go
+++ b/backup/backup_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apricotmount/apricotmount/replica"
@@ -262,6 +263,31 @@
 	}
 }
 
+// One partition holds the snapshot and the others are silent: a node that starts must not wait
+// for these until their calls time out.
+func TestRestoreDoesNotWaitForSilentPartitions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		latest, responded, err := Latest(t.Context(), oneHolderStore{}, replica.Targets, testPartitions)
+		if err != nil || latest.EndOffset != 5 || responded != 1 {
+			t.Errorf("restore: got a snapshot until %d from %d partitions and error %v, want until 5 from 1", latest.EndOffset, responded, err)
+		}
+		if got := time.Since(start); got > settleTime {
+			t.Errorf("restore: took %s, want at most %s", got, settleTime)
+		}
+	})
+}
+
+// oneHolderStore is a store of which only the last partition responds.
+type oneHolderStore struct{ silentStore }
+
+func (s oneHolderStore) ReadBackup(ctx context.Context, t replica.Topic, p Partition) ([]byte, End, error) {
+	if p < testPartitions-1 {
+		return s.silentStore.ReadBackup(ctx, t, p)
+	}
+	return snapshotAt(5).Encode(), 1, nil
+}
+
 // silentStore never responds.
 type silentStore struct{}
 
--- a/backup/restore.go
+++ b/backup/restore.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -28,6 +28,10 @@
 	return h, nil
 }
 
+// settleTime is how long Latest waits for more partitions once one has responded with a
+// snapshot: the others may be silent.
+const settleTime = 250 * time.Millisecond
+
 // Latest reads all partitions of the backup topic of t and returns the latest snapshot, and the
 // number of partitions that responded. It returns ErrNone if none of these holds one, and the
 // error of a call if no partition responded.
@@ -35,24 +39,29 @@
 	defer func() { err = eris.Wrapf(err, "restore %s", t) }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var mu sync.Mutex
-	var wg sync.WaitGroup
+	type readResult struct {
+		held held
+		err  error
+	}
+	results := make(chan readResult, partitionCount)
 	for p := range partitionCount {
-		wg.Go(func() {
-			h, readErr := read(ctx, store, t, Partition(p))
-			mu.Lock()
-			defer mu.Unlock()
-			if readErr != nil {
-				err = readErr
-				return
-			}
-			responded++
-			if h.snapshot.Compare(latest) > 0 {
-				latest = h.snapshot
-			}
-		})
+		go func() {
+			h, err := read(ctx, store, t, Partition(p))
+			results <- readResult{h, err}
+		}()
+	}
+	for range partitionCount {
+		r := <-results
+		if r.err != nil {
+			err = r.err
+			continue
+		}
+		responded++
+		if r.held.snapshot.Compare(latest) > 0 {
+			latest = r.held.snapshot
+			defer time.AfterFunc(settleTime, cancel).Stop()
+		}
 	}
-	wg.Wait()
 	switch {
 	case responded == 0:
 		return Snapshot{}, 0, err
--- a/gateway/backup.go
+++ b/gateway/backup.go
@@ -18,9 +18,11 @@
 	// restoredReadAge is the age that the read of a restored topic counts as having: old
 	// enough that the node goes on trying to read the topic itself.
 	restoredReadAge = time.Minute
-	// maxRestoreDelay bounds the random delay before a node restores a topic: the first
-	// nodes to do so send it to the others.
-	maxRestoreDelay = 200 * time.Millisecond
+	// restoreSpreadPerNode, for each node of the fleet and up to maxRestoreSpread, is the
+	// time over which nodes restore a topic: the first to do so send it to the others,
+	// which need not read all partitions then.
+	restoreSpreadPerNode = 3 * time.Millisecond
+	maxRestoreSpread     = time.Second
 )
 
 // backupInterval is the minimum time between two saves of a topic. The operator writes
@@ -102,12 +104,24 @@
 	return true
 }
 
-// restore uses the latest snapshot of a topic that is away, if this node has no copy of it.
-func (n *Node) restore(ctx context.Context, t replica.Topic) {
-	if n.backups == nil || n.settings.IsFirstFleetStart || n.state.HasBeenComplete(t) {
+// restoreRetryInterval is the minimum time between two attempts of a node to restore a topic.
+// A topic that no partition holds comes back with the store.
+const restoreRetryInterval = 2 * time.Second
+
+// restore uses the latest snapshot of the topic, which is away, if this node has no copy of it.
+func (r *topicReader) restore(ctx context.Context) {
+	now := time.Now()
+	if r.node.backups == nil || r.node.state.HasBeenComplete(r.topic) || now.Before(r.nextRestore) {
 		return
 	}
-	n.waitUntil(ctx, lateBiasedDelay(maxRestoreDelay), func() bool { return n.state.HasBeenComplete(t) })
+	r.nextRestore = now.Add(restoreRetryInterval)
+	r.node.restoreTopic(ctx, r.topic)
+}
+
+// restoreTopic uses the latest snapshot of a topic, unless a peer sends the topic before.
+func (n *Node) restoreTopic(ctx context.Context, t replica.Topic) {
+	spread := min(time.Duration(n.estimatedNodeCount.Load())*restoreSpreadPerNode, maxRestoreSpread)
+	n.waitUntil(ctx, lateBiasedDelay(spread), func() bool { return n.state.HasBeenComplete(t) })
 	if ctx.Err() != nil || n.state.HasBeenComplete(t) {
 		return
 	}
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -58,6 +58,8 @@
 	topic replica.Topic
 	// backup saves what this node has read.
 	backup *backupLoop
+	// nextRestore is when the node may next try to restore the topic.
+	nextRestore time.Time
 	// isAway reports whether the last call failed.
 	isAway bool
 	// isReplaced reports whether a reader with a lower ID was active before the last read
@@ -70,7 +72,7 @@
 	for ctx.Err() == nil {
 		r.waitUntilStale(ctx)
 		if err := r.readUntilReplaced(ctx); err != nil {
-			r.node.restore(ctx, r.topic)
+			r.restore(ctx)
 			r.backOff(ctx, err)
 		}
 	}
