Bound the time until a node without a copy of a topic serves

A node that has nothing retried the store after up to 7.5 s as all others do, so that the longest sum of a return with one failed restore was 15.3 s, beyond recoveryS (15 s). It retries after 5 s at most: 12.8 s.

--- a/backup/keeper.go
+++ b/backup/keeper.go
@@ -17,8 +17,8 @@
 	// MaxValueBytes is the maximum length of an encoded snapshot, that of a record of the
 	// store less its key.
 	MaxValueBytes = 250_000
-	// callTimeout bounds a call to the store.
-	callTimeout = 700 * time.Millisecond
+	// CallTimeout bounds a call to the store, and a whole restore.
+	CallTimeout = 700 * time.Millisecond
 )
 
 // Keeper saves snapshots of one topic. It is not safe for concurrent use.
@@ -132,7 +132,7 @@
 // saveOne saves a snapshot in a partition, unless that holds its content or a later one.
 func (k *Keeper) saveOne(ctx context.Context, p Partition, h held, isKnown bool, s Snapshot, value []byte) (o saveOutcome) {
 	o = saveOutcome{partition: p, held: h}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	if !isKnown {
 		if o.held, o.err = read(ctx, k.Store, k.Topic, p); o.err != nil {
--- a/backup/restore.go
+++ b/backup/restore.go
@@ -37,7 +37,7 @@
 // error of a call if no partition responded.
 func Latest(ctx context.Context, store Store, t replica.Topic, partitionCount int) (latest Snapshot, responded int, err error) {
 	defer func() { err = eris.Wrapf(err, "restore %s", t) }()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	type readResult struct {
 		held held
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -252,7 +252,11 @@
 		r.isAway = true
 		event.StoreAway.Log(n.logger, zap.Stringer("topic", r.topic), zap.String("cause", eris.Cause(err).Error()), n.readAgeField("age-ms", r.topic, time.Now()))
 	}
-	pause.For(ctx, n.storeRetryDelay())
+	delay := n.storeRetryDelay()
+	if !n.state.HasBeenComplete(r.topic) {
+		delay = withoutCopyRetryDelay(delay)
+	}
+	pause.For(ctx, delay)
 }
 
 // lateBiasedDelay returns a random delay of at most maxDelay that is rarely short. Of many
--- a/gateway/readerstart.go
+++ b/gateway/readerstart.go
@@ -74,6 +74,10 @@
 	return storeRetryDelay(min(reachable, len(n.state.FleetNodes(time.Now()))))
 }
 
+// withoutCopyRetryDelay returns the delay before a node that has no copy of the topic retries:
+// it cannot serve until then.
+func withoutCopyRetryDelay(d time.Duration) time.Duration { return min(d, maxStoreRetryDelay) }
+
 // storeRetryDelay returns a random delay before one of nodeCount nodes retries a failed
 // call.
 func storeRetryDelay(nodeCount int) time.Duration {
