--- a/gateway/backup.go
+++ b/gateway/backup.go
@@ -27,7 +27,17 @@
 
 // backupInterval is the minimum time between two saves of a topic. The operator writes
 // seldom, and what it writes is due soon; targets write all the time.
-var backupInterval = [replica.TopicCount]time.Duration{replica.Operator: 100 * time.Millisecond, replica.Targets: 2 * time.Second}
+var backupInterval = [replica.TopicCount]time.Duration{replica.Operator: 500 * time.Millisecond, replica.Targets: 2 * time.Second}
+
+// maxBackupBytesPerSecond bounds what a node writes to the backup topic of one topic. The store
+// keeps what was written for minutes, and refuses the operator's writes too once it is full.
+const maxBackupBytesPerSecond = 200 << 10
+
+// backupPause returns the time from a save of a topic, which wrote the given number of bytes, to
+// the next one.
+func backupPause(t replica.Topic, writtenBytes int) time.Duration {
+	return max(backupInterval[t], time.Duration(writtenBytes)*time.Second/maxBackupBytesPerSecond)
+}
 
 // backupLoop saves one topic while this node reads it.
 type backupLoop struct {
@@ -78,18 +88,18 @@
 			l.keeper.Forget()
 			l.isSaved = false
 		}
-		if l.save(ctx) {
-			pause.For(ctx, backupInterval[l.keeper.Topic])
+		if isSaved, writtenBytes := l.save(ctx); isSaved {
+			pause.For(ctx, backupPause(l.keeper.Topic, writtenBytes))
 		}
 	}
 }
 
-// save saves the topic unless its present content has enough copies, and reports whether it
-// called the store.
-func (l *backupLoop) save(ctx context.Context) bool {
+// save saves the topic unless its present content has enough copies. It returns whether it has
+// called the store, and the number of bytes written.
+func (l *backupLoop) save(ctx context.Context) (isSaved bool, writtenBytes int) {
 	snap, ok := l.node.state.BackupSnapshot(l.keeper.Topic)
 	if !ok || l.isSaved && l.savedDigest == snap.Digest && l.savedEpoch == snap.Epoch {
-		return false
+		return false, 0
 	}
 	result, err := l.keeper.Save(ctx, snap)
 	l.isSaved, l.savedDigest, l.savedEpoch = err == nil, snap.Digest, snap.Epoch
@@ -101,7 +111,7 @@
 	case result.Written > 0:
 		event.BackupSaved.Log(l.node.logger, topic, copies, zap.Int("written", result.Written), zap.Int("bytes", result.Bytes), zap.Uint64("end", uint64(snap.EndOffset)))
 	}
-	return true
+	return true, result.Written * result.Bytes
 }
 
 // restoreRetryInterval is the minimum time between two attempts of a node to restore a topic.
--- a/gateway/restoresum_test.go
+++ b/gateway/restoresum_test.go
@@ -45,3 +45,24 @@
 		}
 	}
 }
+
+// Whatever changes, the snapshots that the store still keeps must leave most of its room to
+// others: it has 400 MB, and keeps records for 300 s on the users' platform.
+func TestSnapshotsFitIntoStore(t *testing.T) {
+	const (
+		storeBytes = 400e6
+		keepTime   = 300 * time.Second
+	)
+	sum := 0.0
+	for topic := range replica.TopicCount {
+		highest := 0.0
+		for _, snapshotBytes := range []int{1, 1 << 10, 32 << 10, backup.MaxValueBytes} {
+			written := backup.CopyCount * snapshotBytes
+			highest = max(highest, float64(written)/backupPause(topic, written).Seconds())
+		}
+		sum += highest * keepTime.Seconds()
+	}
+	if sum > storeBytes/2 {
+		t.Errorf("bytes of snapshots in the store: got up to %.0f MB, want at most half of %.0f MB", sum/1e6, storeBytes/1e6)
+	}
+}
