Decide in package backup when a topic is saved

The loop that saves topics stood in gateway, which only wires, and copied and sorted all records at each read to compare their digest. It stands in backup with a test of its own, and compares the digest first.

--- a/backup/backup_test.go
+++ b/backup/backup_test.go
@@ -61,6 +61,12 @@
 	return s.append(p, value, end)
 }
 
+func (s *memoryStore) setAway(p Partition) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away[p] = true
+}
+
 // append appends a value if the partition ends at end. s.mu must be held.
 func (s *memoryStore) append(p Partition, value []byte, end End) (End, error) {
 	if End(len(s.values[p])) != end && !s.ignoresEnd {
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/apricotmount/apricotmount/backup"
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/peer"
@@ -47,7 +48,9 @@
 	n.waitForPeers(ctx)
 	for t := range replica.TopicCount {
 		r := &topicReader{node: n, topic: t, backup: n.newBackupLoop(t)}
-		n.goroutines.Go(func() { r.backup.run(ctx) })
+		if n.backups != nil {
+			n.goroutines.Go(func() { r.backup.Run(ctx) })
+		}
 		n.goroutines.Go(func() { r.run(ctx) })
 	}
 }
@@ -57,7 +60,7 @@
 	node  *Node
 	topic replica.Topic
 	// backup saves what this node has read.
-	backup *backupLoop
+	backup *backup.Loop
 	// nextRestore is when the node may next try to restore the topic.
 	nextRestore time.Time
 	// isAway reports whether the last call failed.
@@ -97,7 +100,7 @@
 		return err
 	}
 	r.isReplaced = false
-	r.backup.notifyRead()
+	r.backup.NotifyRead()
 	r.beginTurn(ctx, start)
 	defer r.node.isReading[r.topic].Store(false)
 	for {
@@ -115,10 +118,10 @@
 			err = r.readAll(ctx, 0)
 		}
 		if err != nil {
-			r.backup.notifyLost()
+			r.backup.NotifyLost()
 			return err
 		}
-		r.backup.notifyRead()
+		r.backup.NotifyRead()
 	}
 }
 
--- a/inventory/backup.go
+++ b/inventory/backup.go
@@ -7,15 +7,30 @@
 	"github.com/apricotmount/apricotmount/replica"
 )
 
+// CopyDigest returns the digest and the epoch of a topic; ok is false if the copy is not
+// complete.
+func (s *State) CopyDigest(topic replica.Topic) (d replica.Digest, e replica.Epoch, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &s.copies[topic]
+	return c.Digest(), c.Epoch(), isCurrent(c)
+}
+
+// isCurrent reports whether a copy is complete and holds all that a reader has read.
+func isCurrent(c *replica.Copy) bool {
+	_, readAt := c.ReadPosition()
+	return !readAt.IsZero() && c.HasBeenComplete() && c.IsCurrent()
+}
+
 // BackupSnapshot returns a topic for a backup; ok is false if the copy is not complete.
 func (s *State) BackupSnapshot(topic replica.Topic) (snap backup.Snapshot, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := &s.copies[topic]
-	held, readAt := c.ReadPosition()
-	if readAt.IsZero() || !c.HasBeenComplete() || !c.IsCurrent() {
+	if !isCurrent(c) {
 		return backup.Snapshot{}, false
 	}
+	held, _ := c.ReadPosition()
 	return backup.Snapshot{Topic: topic, EndOffset: held, Epoch: c.Epoch(), Digest: c.Digest(), Records: c.Live()}, true
 }
 
--- a/inventory/marks.go
+++ b/inventory/marks.go
@@ -80,7 +80,7 @@
 	defer s.mu.Unlock()
 	for _, t := range topics {
 		c := &s.copies[t]
-		if _, readAt := c.ReadPosition(); !readAt.IsZero() && c.HasBeenComplete() && c.IsCurrent() {
+		if _, readAt := c.ReadPosition(); isCurrent(c) {
 			marks = append(marks, replica.ReadMark{Topic: t, EndOffset: c.MarkedEnd(), AgeMillis: peer.Milliseconds(now.Sub(readAt)), Reader: c.LastReader(), Digest: c.Digest(), Epoch: c.Epoch()})
 		}
 	}
