Take uploads by recent responses in a stop, and check calls before they are sent

A stopping node refused every call whose body was still on its way unless its deadline came before the end; responses that it measures include the time of bodies, so they bound uploads too.

--- a/dispatch/stopping.go
+++ b/dispatch/stopping.go
@@ -56,8 +56,8 @@
 		return true
 	}
 	longest, ok := r.service.responseTimes.longest(now, r.call.Profile.Name)
-	if !ok || !r.call.BodyReplayable {
-		// Nothing tells how long the call, or the rest of its body, takes.
+	if !ok {
+		// Nothing tells how long the call takes.
 		return false
 	}
 	bound := max(time.Duration(longestResponseFactor*float64(longest)), forecastFactor*forecast)
@@ -92,8 +92,8 @@
 	longest time.Duration
 }
 
-// observe records the time that a call of a profile took from its sending to the end of its
-// response.
+// observe records the time that a call of a profile took from its sending, with the rest of its
+// body, to the end of its response.
 func (t *responseTimes) observe(now time.Time, name profile.Name, d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/dispatch/stopping_test.go
+++ b/dispatch/stopping_test.go
@@ -17,8 +17,9 @@
 // stopTrial is a planned stop under drawn load: calls of one profile arrive before and during
 // it, and targets respond with an error at the deadline that they were told.
 type stopTrial struct {
-	rng *rand.Rand
-	f   *fixture
+	// load draws what callers do, by the goroutine of the test only.
+	load *rand.Rand
+	f    *fixture
 	// grace is the time from the begin of the stop to its end, and serviceTime how long calls
 	// take; they take slowdown times as long once the stop has begun.
 	grace, serviceTime time.Duration
@@ -26,6 +27,8 @@
 	stopBeganAt        time.Time
 
 	mu sync.Mutex
+	// targets draws what targets do.
+	targets *rand.Rand
 	// toldErrors counts calls that targets ended at their deadline, cutCount those that were
 	// open at the end of the stop, and ownErrors those that the node ended although a target
 	// had them.
@@ -36,7 +39,7 @@
 // newStopTrial draws a trial.
 func newStopTrial(t *testing.T, seed uint64, slowdown int) *stopTrial {
 	rng := rand.New(rand.NewPCG(seed, 44))
-	s := &stopTrial{rng: rng, slowdown: slowdown}
+	s := &stopTrial{load: rng, targets: rand.New(rand.NewPCG(seed, 45)), slowdown: slowdown}
 	s.grace = time.Duration(1500+rng.IntN(5000)) * time.Millisecond
 	s.serviceTime = time.Duration(20+rng.IntN(1500)) * time.Millisecond
 	s.f = newFixture(t, 40, s.respond)
@@ -48,13 +51,13 @@
 func (s *stopTrial) respond(_ int, a Attempt) action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := time.Duration(float64(s.serviceTime) * (0.7 + 0.3*s.rng.Float64()))
+	d := time.Duration(float64(s.serviceTime) * (0.7 + 0.3*s.targets.Float64()))
 	now := time.Now()
 	if !s.stopBeganAt.IsZero() && !now.Before(s.stopBeganAt) {
 		d *= time.Duration(s.slowdown)
 		s.sentLate++
 	}
-	if s.rng.IntN(20) == 0 {
+	if s.targets.IntN(20) == 0 {
 		return action{failure: refusedByTarget}
 	}
 	if left := a.Deadline.Sub(now); left < d {
@@ -98,18 +101,18 @@
 	var calls sync.WaitGroup
 	send := func(span time.Duration, timeout func() time.Duration) {
 		for end := time.Now().Add(span); time.Now().Before(end); {
-			limit, isIdempotent := timeout(), s.rng.IntN(2) == 0
+			limit, isIdempotent := timeout(), s.load.IntN(2) == 0
 			calls.Go(func() { s.call(limit, isIdempotent) })
-			time.Sleep(time.Duration(1+s.rng.IntN(60)) * time.Millisecond)
+			time.Sleep(time.Duration(1+s.load.IntN(60)) * time.Millisecond)
 		}
 	}
 	// The timeouts of calls before the stop fit the grace period.
-	send(time.Duration(s.rng.IntN(4000))*time.Millisecond, func() time.Duration { return s.grace/2 + time.Duration(s.rng.Int64N(int64(s.grace/2))) })
+	send(time.Duration(s.load.IntN(4000))*time.Millisecond, func() time.Duration { return s.grace/2 + time.Duration(s.load.Int64N(int64(s.grace/2))) })
 	s.mu.Lock()
 	s.stopBeganAt = time.Now()
 	s.mu.Unlock()
 	s.f.BeginStop(s.stopBeganAt.Add(s.grace))
-	send(s.grace/2, func() time.Duration { return time.Duration(200+s.rng.IntN(9000)) * time.Millisecond })
+	send(s.grace/2, func() time.Duration { return time.Duration(200+s.load.IntN(9000)) * time.Millisecond })
 	calls.Wait()
 }
 
@@ -143,7 +146,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			s := newStopTrial(t, seed, 1)
 			// Callers allow enough time for the call itself.
-			s.grace = 2*s.serviceTime + time.Duration(s.rng.IntN(4000))*time.Millisecond
+			s.grace = 2*s.serviceTime + time.Duration(s.load.IntN(4000))*time.Millisecond
 			s.f.BeginStop(time.Now().Add(time.Hour))
 			var calls sync.WaitGroup
 			for range 30 {
@@ -156,6 +159,7 @@
 				time.Sleep(s.grace / 40)
 			}
 			calls.Wait()
+			synctest.Wait()
 			if s.toldErrors > 0 {
 				t.Errorf("seed %d: got %d calls that targets ended at the end of the stop, want none", seed, s.toldErrors)
 			}
@@ -246,3 +250,35 @@
 		}
 	})
 }
+
+// slowConnSender waits for a connection before it may send.
+type slowConnSender struct {
+	*fakeSender
+	wait time.Duration
+}
+
+func (s slowConnSender) Send(ctx context.Context, a Attempt) (Response, *AttemptFailure) {
+	time.Sleep(s.wait)
+	return s.fakeSender.Send(ctx, a)
+}
+
+// A call that waits too long for a connection to its target must not be sent any more.
+func TestStopChecksCallRightBeforeItIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3, func(int, Attempt) action { return action{delay: 100 * time.Millisecond} })
+		for range minResponses {
+			f.do(t.Context(), newCall(nonIdempotent()))
+		}
+		sent := len(f.sender.attempts)
+		f.BeginStop(time.Now().Add(time.Second))
+		p := nonIdempotent()
+		p.CallTimeout = 9 * time.Second
+		_, fail := f.Do(t.Context(), f.svc, newCall(p), slowConnSender{f.sender, 850 * time.Millisecond})
+		if fail == nil || fail.Outcome != outcome.NotRun || fail.Reason != outcome.NodeStopping {
+			t.Errorf("got %+v, want not run, node-stopping", fail)
+		}
+		if got := len(f.sender.attempts) - sent; got > 0 {
+			t.Errorf("attempts: got %d, want none", got)
+		}
+	})
+}
