Save topics by the node that goes on reading them only

After an outage every node makes a first read, and each then read three partitions of each backup topic, though one reader goes on. A reader saves from its second read on.

--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -100,7 +100,6 @@
 		return err
 	}
 	r.isReplaced = false
-	r.backup.NotifyRead()
 	r.beginTurn(ctx, start)
 	defer r.node.isReading[r.topic].Store(false)
 	for {
@@ -121,6 +120,7 @@
 			r.backup.NotifyLost()
 			return err
 		}
+		// After an outage many nodes make a first read; only the one that goes on saves.
 		r.backup.NotifyRead()
 	}
 }
