--- a/dispatch/stopping.go
+++ b/dispatch/stopping.go
@@ -10,21 +10,21 @@
 // A node that stops as planned sends a call only if its response surely arrives before the
 // node ends: the call's deadline comes before, or calls of its profile have taken far less
 // than what is left. Any other call is refused before it is sent, since other nodes serve it.
-// A call that was sent is waited for; its target is told to end before the node does, so that
-// it responds in time in any case.
+// The node waits for a call that was sent. The deadline that its target receives is before the
+// end of the node, so that the target responds in time in any case.
 const (
 	// longestResponseFactor and forecastFactor are how much longer than the longest recent
 	// response, and than its forecast, an attempt is assumed to take.
 	longestResponseFactor = 1.5
 	forecastFactor        = 2
-	// minResponses is the number of recent responses from which the longest tells how long
-	// calls may take.
+	// minResponses is the number of recent responses from which the longest is used as a
+	// bound.
 	minResponses = 4
 	// responsePeriod is the time over which responses are recent, at least; at most it is
 	// twice as long.
 	responsePeriod = 10 * time.Second
-	// stopOverhead is the time before the end of the stop at which targets are told to end,
-	// for the way of the response.
+	// stopOverhead is how much earlier the deadline for targets is than the end of the stop,
+	// so that the response still reaches the node.
 	stopOverhead = 100 * time.Millisecond
 	// stopRetryAfter is the delay after which a caller is asked to try another node.
 	stopRetryAfter = 40 * time.Millisecond
@@ -57,14 +57,15 @@
 	}
 	longest, ok := r.service.responseTimes.longest(now, r.call.Profile.Name)
 	if !ok {
-		// Nothing tells how long the call takes.
+		// The duration of the call has no bound but its deadline.
 		return false
 	}
 	bound := max(time.Duration(longestResponseFactor*float64(longest)), forecastFactor*forecast)
 	return !now.Add(bound).After(end)
 }
 
-// attemptDeadlines returns when an attempt is given up, and when its target is told to end.
+// attemptDeadlines returns the deadline of an attempt in this node and the one that its target
+// receives.
 func (r *run) attemptDeadlines() (own, target time.Time) {
 	own, target = r.call.Deadline, r.call.Deadline.Add(-layerOverhead)
 	if end, ok := r.dispatcher.stopLimit(); ok {
--- a/dispatch/stopping_test.go
+++ b/dispatch/stopping_test.go
@@ -15,7 +15,7 @@
 )
 
 // stopTrial is a planned stop under drawn load: calls of one profile arrive before and during
-// it, and targets respond with an error at the deadline that they were told.
+// it, and targets respond with an error at the deadline that they receive.
 type stopTrial struct {
 	// load draws what callers do, by the goroutine of the test only.
 	load *rand.Rand
@@ -29,11 +29,11 @@
 	mu sync.Mutex
 	// targets draws what targets do.
 	targets *rand.Rand
-	// toldErrors counts calls that targets ended at their deadline, cutCount those that were
+	// deadlineErrors counts calls that targets ended at their deadline, cutCount those that were
 	// open at the end of the stop, and ownErrors those that the node ended although a target
 	// had them.
-	toldErrors, cutCount, ownErrors int
-	sentLate, refusedLate           int
+	deadlineErrors, cutCount, ownErrors int
+	sentLate, refusedLate               int
 }
 
 // newStopTrial draws a trial.
@@ -61,7 +61,7 @@
 		return action{failure: refusedByTarget}
 	}
 	if left := a.Deadline.Sub(now); left < d {
-		s.toldErrors++
+		s.deadlineErrors++
 		return action{delay: left, isServerError: true}
 	}
 	return action{delay: d}
@@ -160,15 +160,15 @@
 			}
 			calls.Wait()
 			synctest.Wait()
-			if s.toldErrors > 0 {
-				t.Errorf("seed %d: got %d calls that targets ended at the end of the stop, want none", seed, s.toldErrors)
+			if s.deadlineErrors > 0 {
+				t.Errorf("seed %d: got %d calls that targets ended at the end of the stop, want none", seed, s.deadlineErrors)
 			}
 		})
 	}
 }
 
-// Without recent responses nothing tells how long a call takes; one whose deadline is after
-// the end of the stop is refused, and one whose deadline is before is sent.
+// Without recent responses the duration of a call has no bound but its deadline: one whose
+// deadline is after the end of the stop is refused, and one whose deadline is before is sent.
 func TestStopWithoutEvidenceGoesByDeadlines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 3, func(int, Attempt) action { return action{delay: time.Millisecond} })
@@ -237,8 +237,8 @@
 	})
 }
 
-// Recent calls were short, but the target has a long queue by its report: the forecast tells
-// that a call does not end in time.
+// Recent calls were short, but the target reports a long queue: by the forecast a call does not
+// end in time.
 func TestStopSendsNoCallWithLongForecast(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newStoppingCapacityFixture(t, 8, 900*time.Millisecond)
--- a/gateway/restoresum_test.go
+++ b/gateway/restoresum_test.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// A restored topic must count as read too long ago for the node to leave reading it to others,
-// or to trust that its plan is the newest.
+// A restored topic must count as read so long ago that the node takes over reading it, and does
+// not assume that its plan is the newest.
 func TestRestoredTopicCountsAsReadLongAgo(t *testing.T) {
 	oldest := max(takeoverAge+takeoverSpread, inventory.OutageThreshold)
 	if restoredReadAge <= oldest {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -35,7 +35,7 @@
 	n.logReadinessChange()
 	n.handler.SetDraining()
 	n.hub.Broadcast(peer.Message{Left: []vm.ID{n.self.ID}}, nil)
-	// A later change of the settings must not end the stop sooner than calls were promised.
+	// A later change of the settings must not cut calls that were sent by this grace period.
 	grace := n.reloadable.Load().GracePeriod
 	end := time.Now().Add(grace - stopMargin)
 	n.handler.Dispatcher.BeginStop(end.Add(-responseMargin))
