Decide stops and calls to the store outside of the wiring

Tests moved with their bounds. The tests of gateway, node, pacing, drain, inventory and backup pass.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -6,7 +6,6 @@
 	"go.uber.org/zap"
 
 	"github.com/apricotmount/apricotmount/event"
-	"github.com/apricotmount/apricotmount/replica"
 )
 
 // logReadinessChange logs the node's readiness if it differs from what was logged last.
@@ -32,10 +31,8 @@
 	if n.isInitialized() || now.Before(due) {
 		return due
 	}
-	c := n.state.Completeness()
-	event.NodeIncomplete.Log(n.logger, zap.Bool("plan", c.HasPlan), zap.Bool("targets-mark", c.HasTargetsMark),
-		zap.Bool("operator-complete", c.IsComplete[replica.Operator]), zap.Bool("targets-complete", c.IsComplete[replica.Targets]),
-		zap.Int("links", len(n.hub.Links())), zap.Int("nodes", len(n.state.FleetNodes(now))))
+	linkCount, nodeCount := n.linkAndNodeCount()
+	event.NodeIncomplete.Log(n.logger, append(n.state.Completeness().LogFields(), zap.Int("links", linkCount), zap.Int("nodes", nodeCount))...)
 	return now.Add(incompleteLogInterval)
 }
 
--- a/gateway/backup.go
+++ b/gateway/backup.go
@@ -9,24 +9,11 @@
 
 	"github.com/apricotmount/apricotmount/backup"
 	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/pacing"
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/replica"
 )
 
-const (
-	// restoredReadAge is the age that the read of a restored topic counts as having: old
-	// enough that the node goes on trying to read the topic itself.
-	restoredReadAge = time.Minute
-	// restoreSpreadPerNode, for each node of the fleet and up to maxRestoreSpread, is the
-	// time over which nodes restore a topic: the first to do so send it to the others,
-	// which need not read all partitions then.
-	restoreSpreadPerNode = 3 * time.Millisecond
-	maxRestoreSpread     = time.Second
-	// restoreRetryInterval is the minimum time between two attempts of a node to restore a
-	// topic. One that no partition holds comes back with the store.
-	restoreRetryInterval = 2 * time.Second
-)
-
 // newBackupLoop returns the loop that saves a topic.
 func (n *Node) newBackupLoop(t replica.Topic) *backup.Loop {
 	k := backup.Keeper{Store: n.backups, Topic: t, PartitionCount: n.settings.PartitionsPerTopic}
@@ -50,14 +37,13 @@
 	if r.node.backups == nil || ctx.Err() != nil || r.node.state.HasBeenComplete(r.topic) || now.Before(r.nextRestore) {
 		return
 	}
-	r.nextRestore = now.Add(restoreRetryInterval)
+	r.nextRestore = now.Add(pacing.RestoreRetryInterval)
 	r.node.restoreTopic(ctx, r.topic)
 }
 
 // restoreTopic uses the latest snapshot of a topic, unless a peer sends the topic before.
 func (n *Node) restoreTopic(ctx context.Context, t replica.Topic) {
-	spread := min(time.Duration(n.estimatedNodeCount.Load())*restoreSpreadPerNode, maxRestoreSpread)
-	n.waitUntil(ctx, lateBiasedDelay(spread), func() bool { return n.state.HasBeenComplete(t) })
+	n.waitUntil(ctx, pacing.RestoreWait(int(n.estimatedNodeCount.Load())), func() bool { return n.state.HasBeenComplete(t) })
 	if ctx.Err() != nil || n.state.HasBeenComplete(t) {
 		return
 	}
@@ -67,7 +53,7 @@
 		event.BackupMissing.Log(n.logger, append(fields, zap.String("cause", eris.Cause(err).Error()))...)
 		return
 	}
-	changed := n.state.ApplyBackup(snap, n.readerID(), n.startedAt.Add(-restoredReadAge), time.Now())
+	changed := n.state.ApplyBackup(snap, n.readerID(), time.Now())
 	event.BackupRestored.Log(n.logger, append(fields, zap.Int("records", len(snap.Records)), zap.Uint64("end", uint64(snap.EndOffset)))...)
 	n.hub.Broadcast(peer.Message{Records: changed, Marks: n.state.Marks(time.Now(), t)}, nil)
 	n.applyState()
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -12,6 +12,7 @@
 
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/inventory"
+	"github.com/apricotmount/apricotmount/pacing"
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/replica"
 	"github.com/apricotmount/apricotmount/vm"
@@ -108,9 +109,6 @@
 	n.applyState()
 }
 
-// recordsRequestInterval is the minimum time between two requests for all records.
-const recordsRequestInterval = 250 * time.Millisecond
-
 // receiveMarks applies and forwards a peer's marks. If the digest of a reader that has
 // read at least as far keeps differing from this node's, it requests all records from
 // the peer.
@@ -127,7 +125,7 @@
 			newMarks = append(newMarks, m)
 		}
 	}
-	if last := n.recordsRequestedAt.Load(); needsRecords && now.UnixMilli()-last > recordsRequestInterval.Milliseconds() && n.recordsRequestedAt.CompareAndSwap(last, now.UnixMilli()) {
+	if last := n.recordsRequestedAt.Load(); needsRecords && now.UnixMilli()-last > pacing.RecordsRequestInterval.Milliseconds() && n.recordsRequestedAt.CompareAndSwap(last, now.UnixMilli()) {
 		from.Send(peer.Message{WantRecords: true})
 	}
 	if !n.isInitialized() {
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/pacing"
 	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/replica"
@@ -61,7 +62,7 @@
 		if err != nil {
 			event.MembershipLost.Log(n.logger, zap.String("cause", eris.Cause(err).Error()))
 			// Until it has joined, the others do not find this node.
-			wait = n.storeRetryDelay()
+			wait = pacing.RetryDelay(n.linkAndNodeCount())
 		}
 		n.estimateFleet(m.NodeCount)
 		mayRelease := m.PartitionCount < partitionCount || m.PartitionCount > maxUnconfirmedPartitions
@@ -85,7 +86,7 @@
 	if n.isLeaving.Load() {
 		return Membership{}, errLeaving
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, pacing.StoreTimeout)
 	defer cancel()
 	return n.store.Join(ctx, n.self, membershipTTL, generation)
 }
@@ -121,13 +122,13 @@
 			listedAt = now
 			n.listNodes(ctx)
 		}
-		pause.For(ctx, pause.Jitter(4*markCheckInterval))
+		pause.For(ctx, pause.Jitter(4*pacing.MarkCheckInterval))
 	}
 }
 
 // listNodes lists the members once and broadcasts them.
 func (n *Node) listNodes(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, pacing.StoreTimeout)
 	defer cancel()
 	nodes, err := n.store.ListMembers(callCtx)
 	n.hasListingFailed.Store(err != nil)
--- a/gateway/reader.go
+++ b/gateway/reader.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -11,6 +9,7 @@
 
 	"github.com/apricotmount/apricotmount/backup"
 	"github.com/apricotmount/apricotmount/event"
+	"github.com/apricotmount/apricotmount/pacing"
 	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/replica"
@@ -21,27 +20,6 @@
 // then keep the others from taking over. If several nodes read a topic, the one with the
 // lowest reader ID continues. The topics are read independently, since the part of the
 // store that holds one may be away.
-const (
-	// targetsReadInterval is the time from one read of the targets topic to the next. These
-	// reads do not wait for a record: targets write heartbeats all the time, so the wait
-	// would end at once.
-	targetsReadInterval = time.Second
-	// operatorReadWait is how long one read of the operator topic waits for a record,
-	// since the operator writes rarely. Until the read returns nothing is known of the
-	// topic, so other nodes must not take over before that. The store may also fail to
-	// wake a read that began while a record was being written.
-	operatorReadWait = 920 * time.Millisecond
-	// takeoverAge is the age of the last mark from which another node may take over
-	// reading; each node adds a random delay of up to takeoverSpread.
-	takeoverAge    = 1250 * time.Millisecond
-	takeoverSpread = 400 * time.Millisecond
-	// storeTimeout bounds a call to the store, in addition to the time that it waits
-	// for records.
-	storeTimeout = 700 * time.Millisecond
-	// markCheckInterval is the time between two checks of the last mark's age by a node
-	// that does not read.
-	markCheckInterval = 50 * time.Millisecond
-)
 
 // readStore reads the topics of the store while no other node does, until ctx ends.
 func (n *Node) readStore(ctx context.Context) {
@@ -84,9 +62,9 @@
 // waitUntilStale returns when the last mark is older than takeoverAge plus a random
 // delay, or when ctx ends.
 func (r *topicReader) waitUntilStale(ctx context.Context) {
-	maxAge := takeoverAge + lateBiasedDelay(takeoverSpread)
+	maxAge := pacing.TakeoverAge()
 	for ctx.Err() == nil && r.node.state.MarkAge(r.topic, time.Now()) <= maxAge {
-		pause.For(ctx, markCheckInterval)
+		pause.For(ctx, pacing.MarkCheckInterval)
 	}
 }
 
@@ -144,7 +122,7 @@
 // wait returns how long a read of the topic waits for a record.
 func (r *topicReader) wait() time.Duration {
 	if r.topic == replica.Operator {
-		return operatorReadWait
+		return pacing.OperatorReadWait
 	}
 	return 0
 }
@@ -153,7 +131,7 @@
 // whether ctx is not done. A topic whose reads wait for a record needs no pause.
 func (r *topicReader) pauseBetweenReads(ctx context.Context, start time.Time) bool {
 	if r.topic == replica.Targets {
-		pause.For(ctx, time.Until(start.Add(targetsReadInterval)))
+		pause.For(ctx, time.Until(start.Add(pacing.TargetsReadInterval)))
 	}
 	return ctx.Err() == nil
 }
@@ -220,7 +198,7 @@
 			return batch, false, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, pacing.StoreTimeout)
 	defer cancel()
 	batch, err = r.node.store.ListNewest(ctx, r.topic)
 	if err == nil && batch.Epoch < state.Epoch(r.topic) {
@@ -238,9 +216,9 @@
 	return eris.As(err, &refusal) || eris.Is(err, errEarlierEpoch)
 }
 
-// read reads the topic from an offset on, within storeTimeout after the wait.
+// read reads the topic from an offset on, within pacing.StoreTimeout after the wait.
 func (r *topicReader) read(ctx context.Context, from replica.Offset, wait time.Duration) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+pacing.StoreTimeout)
 	defer cancel()
 	return r.node.store.Read(ctx, r.topic, from, wait)
 }
@@ -255,15 +233,9 @@
 		r.isAway = true
 		event.StoreAway.Log(n.logger, zap.Stringer("topic", r.topic), zap.String("cause", eris.Cause(err).Error()), n.readAgeField("age-ms", r.topic, time.Now()))
 	}
-	delay := n.storeRetryDelay()
+	delay := pacing.RetryDelay
 	if !n.state.HasBeenComplete(r.topic) {
-		delay = withoutCopyRetryDelay(delay)
+		delay = pacing.RetryDelayWithoutCopy
 	}
-	pause.For(ctx, delay)
-}
-
-// lateBiasedDelay returns a random delay of at most maxDelay that is rarely short. Of many
-// nodes only a few act early, and the first has time to inform the others.
-func lateBiasedDelay(maxDelay time.Duration) time.Duration {
-	return time.Duration(float64(maxDelay) * math.Sqrt(math.Sqrt(rand.Float64())))
+	pause.For(ctx, delay(n.linkAndNodeCount()))
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -28,7 +28,7 @@
 	plan := n.waitForPlan(r.Context())
 	if plan == nil {
 		w.Header().Set("Retry-After", retryAfterSeconds)
-		n.refuse(w, r, http.StatusServiceUnavailable, n.incompleteReason())
+		n.refuse(w, r, http.StatusServiceUnavailable, inventory.MissingReason(n.upstreams.active.Load().plan))
 		return
 	}
 	if status, reason := plan.Limits.Check(r); reason != "" {
@@ -60,14 +60,6 @@
 	w.WriteHeader(status)
 }
 
-// incompleteReason returns the reason why a node that is not initialized refuses calls.
-func (n *Node) incompleteReason() outcome.Reason {
-	if n.upstreams.active.Load().plan == nil {
-		return outcome.NoPlan
-	}
-	return outcome.NoTargetList
-}
-
 // isInitialized reports whether the node has been able to serve at least once.
 func (n *Node) isInitialized() bool {
 	select {
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/apricotmount/apricotmount/pacing"
 	"github.com/apricotmount/apricotmount/retry"
 )
 
@@ -47,7 +48,7 @@
 		applyTimeout = 2000 * time.Millisecond
 		spreadTime   = 500 * time.Millisecond
 	)
-	if got, want := operatorReadWait, applyTimeout-spreadTime; got > want {
+	if got, want := pacing.OperatorReadWait, applyTimeout-spreadTime; got > want {
 		t.Errorf("wait of one read: got %s, want at most %s", got, want)
 	}
 }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -6,27 +6,19 @@
 
 	"go.uber.org/zap"
 
+	"github.com/apricotmount/apricotmount/drain"
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/pause"
 	"github.com/apricotmount/apricotmount/peer"
 	"github.com/apricotmount/apricotmount/vm"
 )
 
-const (
-	// balancerDetectionTime is how long the external load balancer may keep sending
-	// calls after the node became unready: it checks readiness once a second and removes
-	// a node after the second failed check.
-	balancerDetectionTime = 2700 * time.Millisecond
-	// acceptShare is the maximum part of the grace period during which a leaving node
-	// accepts calls; the rest is for the calls in progress.
-	acceptShare = 0.5
-	// leaveTimeout bounds the call to Store.Leave.
-	leaveTimeout = 200 * time.Millisecond
-)
+// leaveTimeout bounds the call to Store.Leave.
+const leaveTimeout = 200 * time.Millisecond
 
 // Stop shuts the node down gracefully: it becomes unready at once, accepts calls for
-// acceptDuration and then waits for the calls in progress. It cuts them off when ctx ends
-// or stopMargin before the end of the grace period.
+// part of the grace period and then waits for the calls in progress. It cuts them off when ctx
+// ends or shortly before the end of the grace period.
 func (n *Node) Stop(ctx context.Context) {
 	if n.isLeaving.Swap(true) {
 		return
@@ -36,15 +28,14 @@
 	n.handler.SetDraining()
 	n.hub.Broadcast(peer.Message{Left: []vm.ID{n.self.ID}}, nil)
 	// A later change of the settings must not cut calls that were sent by this grace period.
-	grace := n.reloadable.Load().GracePeriod
-	end := time.Now().Add(grace - stopMargin)
-	n.handler.Dispatcher.BeginStop(end.Add(-responseMargin))
-	n.sender.BeginStop(end.Add(-responseMargin))
+	times := drain.ForGrace(time.Now(), n.reloadable.Load().GracePeriod)
+	n.handler.Dispatcher.BeginStop(times.AttemptEnd)
+	n.sender.BeginStop(times.AttemptEnd)
 	n.goroutines.Go(n.leave)
-	pause.For(ctx, acceptDuration(grace))
-	ctx, cancel := context.WithDeadline(ctx, end)
+	pause.For(ctx, time.Until(times.AcceptEnd))
+	ctx, cancel := context.WithDeadline(ctx, times.CutOff)
 	defer cancel()
-	endWaiting := time.AfterFunc(time.Until(end.Add(-waitEndMargin)), n.handler.Dispatcher.EndWaiting)
+	endWaiting := time.AfterFunc(time.Until(times.WaitEnd), n.handler.Dispatcher.EndWaiting)
 	defer endWaiting.Stop()
 	err := n.callerServer.Drain(ctx)
 	n.waitForRelayed(ctx)
@@ -55,24 +46,6 @@
 	n.close()
 }
 
-// acceptDuration returns how long a leaving node accepts calls. Then it closes its
-// listener and idle connections: a later call might not end within the grace period.
-func acceptDuration(grace time.Duration) time.Duration {
-	return min(balancerDetectionTime, time.Duration(acceptShare*float64(grace)))
-}
-
-// stopMargin is the part of the grace period that is reserved for the last steps of
-// Stop.
-const stopMargin = 300 * time.Millisecond
-
-// responseMargin is the time before the end of the calls in progress at which an attempt that
-// is still open is given up, so that its caller gets a response.
-const responseMargin = 100 * time.Millisecond
-
-// waitEndMargin is the time before the end of the calls in progress at which those that still
-// wait for capacity are refused: each checks ten times a second whether it may be sent.
-const waitEndMargin = 300 * time.Millisecond
-
 // close closes all servers, links and connections, and waits for the background loops.
 func (n *Node) close() {
 	n.cancel()
--- a/inventory/backup.go
+++ b/inventory/backup.go
@@ -41,13 +41,17 @@
 	return s.copies[topic].HasBeenComplete()
 }
 
+// restoredReadAge is the age that the read of a restored topic counts as having: old enough
+// that the node goes on trying to read the topic itself.
+const restoredReadAge = time.Minute
+
 // ApplyBackup merges a snapshot into a copy that was never complete, as if the topic had been
-// read at readAt, and returns the records that changed it.
-func (s *State) ApplyBackup(snap backup.Snapshot, reader replica.ReaderID, readAt, now time.Time) (changed []replica.Record) {
+// read restoredReadAge ago, and returns the records that changed it.
+func (s *State) ApplyBackup(snap backup.Snapshot, reader replica.ReaderID, now time.Time) (changed []replica.Record) {
 	if s.HasBeenComplete(snap.Topic) {
 		return nil
 	}
 	changed = s.ApplyListing(snap.Topic, replica.Listing{Records: snap.Records, EndOffset: snap.EndOffset, Epoch: snap.Epoch}, "backup", now)
-	s.FinishRead(replica.ReadMark{Topic: snap.Topic, EndOffset: snap.EndOffset, Reader: reader, Epoch: snap.Epoch}, readAt)
+	s.FinishRead(replica.ReadMark{Topic: snap.Topic, EndOffset: snap.EndOffset, Reader: reader, Epoch: snap.Epoch}, now.Add(-restoredReadAge))
 	return changed
 }
--- a/inventory/state.go
+++ b/inventory/state.go
@@ -217,31 +217,6 @@
 // before it serves with the records it has.
 const completenessTimeout = time.Second
 
-// Completeness states which parts of the state a node has received since it started.
-type Completeness struct {
-	HasPlan bool
-	// HasTargetsMark reports whether the node knows how far the targets topic was read.
-	HasTargetsMark bool
-	// IsComplete reports for each topic whether the copy was complete at some time.
-	IsComplete [replica.TopicCount]bool
-}
-
-// Completeness returns which parts of the state the node has received.
-func (s *State) Completeness() Completeness {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.completeness()
-}
-
-// completeness is Completeness with s.mu held.
-func (s *State) completeness() Completeness {
-	c := Completeness{HasPlan: s.plan != nil, HasTargetsMark: !s.firstMarkAt.IsZero()}
-	for t := range replica.TopicCount {
-		c.IsComplete[t] = s.copies[t].HasBeenComplete()
-	}
-	return c
-}
-
 // CanServe reports whether the node has a plan and complete copies of the targets and of
 // the zones out of service. After completenessTimeout incomplete copies suffice.
 func (s *State) CanServe() bool {
--- a/node/stop.go
+++ b/node/stop.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/apricotmount/apricotmount/drain"
 	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/member"
 	"github.com/apricotmount/apricotmount/pause"
@@ -24,9 +25,6 @@
 	leaveTimeout = 2 * time.Second
 	// leaveSendDelay is the time given to the links to send the last message.
 	leaveSendDelay = 20 * time.Millisecond
-	// responseMargin is the time before StopTimeout at which an attempt that is still open
-	// is given up, so that its caller gets a response.
-	responseMargin = 100 * time.Millisecond
 )
 
 // Stop ends the node in a planned way: it becomes unready, accepts calls for the
@@ -41,10 +39,11 @@
 	n.isReady.Store(false)
 	n.callerHandler.SetDraining()
 	n.members.Update(func(e *member.Entry) { e.Status = member.Leaving })
-	n.callerHandler.Dispatcher.BeginStop(time.Now().Add(n.settings.StopTimeout - responseMargin))
-	ctx, cancel := context.WithTimeout(ctx, n.settings.StopTimeout)
+	times := drain.Within(time.Now(), n.settings.StopGrace, n.settings.StopTimeout)
+	n.callerHandler.Dispatcher.BeginStop(times.AttemptEnd)
+	ctx, cancel := context.WithDeadline(ctx, times.CutOff)
 	defer cancel()
-	pause.For(ctx, n.settings.StopGrace)
+	pause.For(ctx, time.Until(times.AcceptEnd))
 	err := n.callerServer.Drain(ctx)
 	cutCalls = n.callerHandler.OpenCallCount()
 	if err != nil || cutCalls > 0 {
--- a/gateway/reader_test.go
+++ b/pacing/read_test.go
@@ -1,4 +1,4 @@
-package gateway
+package pacing
 
 import (
 	"math"
@@ -21,7 +21,7 @@
 	for range trials {
 		var takeovers []time.Duration
 		for range nodeCount {
-			takeovers = append(takeovers, takeoverAge+lateBiasedDelay(takeoverSpread))
+			takeovers = append(takeovers, TakeoverAge())
 		}
 		slices.Sort(takeovers)
 		for _, a := range takeovers {
@@ -53,7 +53,7 @@
 		for range trials {
 			var delays []time.Duration
 			for range tt.nodeCount {
-				delays = append(delays, lateBiasedDelay(restartSpread(tt.nodeCount)))
+				delays = append(delays, RestartWait(tt.nodeCount))
 			}
 			first := slices.Min(delays)
 			for _, d := range delays {
@@ -78,15 +78,15 @@
 		totalDelay := time.Duration(0)
 		const trials = 2000
 		for range trials {
-			totalDelay += storeRetryDelay(n)
+			totalDelay += retryDelay(n)
 		}
 		perSecond := float64(n) / (totalDelay / trials).Seconds()
-		if perSecond > 1.1*storeRetriesPerSecond {
-			t.Errorf("%d nodes: got %.1f retries per second, want at most %d", n, perSecond, storeRetriesPerSecond)
+		if perSecond > 1.1*retriesPerSecond {
+			t.Errorf("%d nodes: got %.1f retries per second, want at most %d", n, perSecond, retriesPerSecond)
 		}
 	}
-	if got := storeRetryDelay(1000); got > 2*maxStoreRetryDelay {
-		t.Errorf("delay of one of 1000 nodes: got %s, want at most %s", got, 2*maxStoreRetryDelay)
+	if got := retryDelay(1000); got > 2*maxRetryDelay {
+		t.Errorf("delay of one of 1000 nodes: got %s, want at most %s", got, 2*maxRetryDelay)
 	}
 }
 
@@ -99,11 +99,11 @@
 		contactBound = 3 * time.Second
 		readTime     = 250 * time.Millisecond
 	)
-	takeover := takeoverAge + takeoverSpread + markCheckInterval
+	takeover := takeoverAge + takeoverSpread + MarkCheckInterval
 	maxRetryDelay := func(links int) time.Duration {
 		longest := time.Duration(0)
 		for range 1000 {
-			longest = max(longest, storeRetryDelay(1+reachablePerLink*links))
+			longest = max(longest, RetryDelay(links, math.MaxInt))
 		}
 		return longest
 	}
@@ -111,20 +111,20 @@
 		path       string
 		sum, bound time.Duration
 	}{
-		{"read by a reader whose waiting read missed the record", operatorReadWait + readTime, applyBound},
+		{"read by a reader whose waiting read missed the record", OperatorReadWait + readTime, applyBound},
 		{"reader lost just after its last mark", takeover + readTime, applyBound},
 		{"reader lost, and the next one before it could tell", takeover + readTime, applyBound},
 		{"reader's read hangs", takeover + readTime, applyBound},
-		{"record lost on its way, next mark", max(operatorReadWait, targetsReadInterval) + recordsRequestInterval + readTime, applyBound},
-		{"node without links back from a cut, with a call that hangs", maxRetryDelay(0) + storeTimeout + readTime, contactBound},
-		{"node with one link back from a cut", maxRetryDelay(1) + storeTimeout + readTime, contactBound},
+		{"record lost on its way, next mark", max(OperatorReadWait, TargetsReadInterval) + RecordsRequestInterval + readTime, applyBound},
+		{"node without links back from a cut, with a call that hangs", maxRetryDelay(0) + StoreTimeout + readTime, contactBound},
+		{"node with one link back from a cut", maxRetryDelay(1) + StoreTimeout + readTime, contactBound},
 	} {
 		if tt.sum > tt.bound {
 			t.Errorf("%s: got up to %s, want at most %s", tt.path, tt.sum, tt.bound)
 		}
 	}
 	// A reader's marks must keep the others from taking over.
-	if longest := max(operatorReadWait, targetsReadInterval); longest >= takeoverAge {
+	if longest := max(OperatorReadWait, TargetsReadInterval); longest >= takeoverAge {
 		t.Errorf("time between two marks: got %s, want less than %s", longest, takeoverAge)
 	}
 }
