--- a/gateway/stoplate_test.go
+++ b/gateway/stoplate_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -214,3 +215,59 @@
 		t.Errorf("calls complete: got %d of %d", result.complete, callCount)
 	}
 }
+
+// streamingTarget is a target whose responses come in two halves, 0.9 s apart.
+type streamingTarget struct{ *platformtest.Target }
+
+// streamedHalf is longer than the responses that a node buffers.
+var streamedHalf = strings.Repeat("x", 1<<20)
+
+func (s streamingTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		s.Target.ServeHTTP(w, r)
+		return
+	}
+	h := w.Header()
+	h.Set(platform.RequestIDHeader, r.Header.Get(platform.RequestIDHeader))
+	h.Set("X-Apricotmount-Response-Stamp", "stamp")
+	h.Set("Content-Length", fmt.Sprint(2*len(streamedHalf)))
+	_, _ = io.WriteString(w, streamedHalf)
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(900 * time.Millisecond)
+	_, _ = io.WriteString(w, streamedHalf)
+}
+
+// Responses that are streamed when the stop begins, and those of calls that come during it and
+// surely end in time, must be complete; no other call may be sent.
+func TestStopCompletesStreamedResponses(t *testing.T) {
+	c := newTestCluster(t)
+	c.putPlan(1, "a")
+	target := streamingTarget{&platformtest.Target{ID: "i-1", Slots: 60}}
+	c.targets["i-1"], c.targetAddresses["i-1"] = target.Target, c.listen(target)
+	c.putTarget("i-1", "a", "east", "ready")
+	c.startNode("east", c.storeAddress)
+	c.waitFor(waitTimeout, "a ready node", func() bool { return c.isReady(0) })
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	var calls sync.WaitGroup
+	get := func() {
+		status, _ := c.get(0, "/x/1")
+		mu.Lock()
+		defer mu.Unlock()
+		statuses[status]++
+	}
+	for range 4 {
+		get()
+	}
+	for i := range 20 {
+		calls.Go(get)
+		time.Sleep(50 * time.Millisecond)
+		if i == 3 {
+			calls.Go(func() { c.nodes[0].Stop(t.Context()) })
+		}
+	}
+	calls.Wait()
+	if statuses[http.StatusOK] < 8 || statuses[http.StatusServiceUnavailable] == 0 || statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable] != 24 {
+		t.Errorf("calls by status, zero if cut off: got %v, want 200 for 8 or more and 503 for the others", statuses)
+	}
+}
