End each run of the soak with a return of all nodes while topics are away

Tests and soak took parts of the store away, or nodes, never all nodes and a part together. A run ends with that now: one or both topics away in one of three ways, all nodes killed, and each must be ready within recoveryS.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -148,6 +148,9 @@
 	h.checkRecovery(ctx)
 	stop()
 	callers.Wait()
+	if len(s.FaultNames) == 0 {
+		h.checkFleetReturn(ctx)
+	}
 	h.recorder.checkTotals()
 	return h.result(), nil
 }
