--- /dev/null
+++ b/review/runner/cases.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// startFleet starts servers of two services and three nodes, one in each zone.
+func startFleet(ctx context.Context, s *site, serversPerService int) (byService map[string][]*server, err error) {
+	byService = map[string][]*server{}
+	for _, name := range []string{"ledger", "rounds"} {
+		for i := range serversPerService {
+			v, err := s.addServer(fmt.Sprintf("i-%s%d", name, i), name, zones[i%len(zones)], 30*time.Millisecond)
+			if err != nil {
+				return nil, err
+			}
+			byService[name] = append(byService[name], v)
+		}
+	}
+	s.publish(1, []string{"ledger", "rounds"}, []route{
+		{"/ledger/", "safe", "ledger", 1500, 600},
+		{"/rounds/", "safe", "rounds", 1500, 600},
+		{"/rounds/ledger/", "safe", "ledger", 1500, 600},
+	})
+	for _, z := range zones {
+		if _, err := s.addNode(z); err != nil {
+			return nil, err
+		}
+	}
+	return byService, s.awaitReady(ctx)
+}
+
+// sendSteadily sends requests to all nodes in turn until ctx ends, and returns their answers.
+func sendSteadily(ctx context.Context, s *site, target string, interval time.Duration) (answers func() []answer) {
+	var mu sync.Mutex
+	var all []answer
+	var open sync.WaitGroup
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			open.Go(func() {
+				a := s.ask(context.Background(), s.nodes[i%len(s.nodes)], http.MethodGet, target, newID("c"), noKey, 2500*time.Millisecond)
+				mu.Lock()
+				defer mu.Unlock()
+				all = append(all, a)
+			})
+		}
+	}()
+	return func() []answer {
+		<-done
+		open.Wait()
+		return all
+	}
+}
+
+// servedShare returns the share of the requests sent since a time that got a success.
+func servedShare(answers []answer, since time.Time) (share float64, n int) {
+	served := 0
+	for _, a := range answers {
+		if a.sentAt.Before(since) {
+			continue
+		}
+		n++
+		if a.status == http.StatusOK {
+			served++
+		}
+	}
+	return float64(served) / float64(max(n, 1)), n
+}
+
+// runMovedServer restarts the servers of one service, one after the other, under their IDs and
+// at new addresses, and checks that the service is served as well as the other.
+func runMovedServer(ctx context.Context, s *site, isTroubled bool) (isBroken bool, err error) {
+	const downTime, pauseBetween, settleTime, judgedTime = 3 * time.Second, 4 * time.Second, 6 * time.Second, 20 * time.Second
+	servers, err := startFleet(ctx, s, 3)
+	if err != nil {
+		return false, err
+	}
+	sendCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	ledger := sendSteadily(sendCtx, s, "/ledger/x", 50*time.Millisecond)
+	rounds := sendSteadily(sendCtx, s, "/rounds/x", 50*time.Millisecond)
+	time.Sleep(5 * time.Second)
+	for i, v := range servers["ledger"] {
+		if !isTroubled {
+			time.Sleep(downTime + pauseBetween)
+			continue
+		}
+		former := v.end()
+		time.Sleep(addressReuse + 200*time.Millisecond)
+		if err := s.reuseAddress(former, i); err != nil {
+			return false, err
+		}
+		time.Sleep(downTime - addressReuse - 200*time.Millisecond)
+		if err := v.startAt("127.0.0.1:0"); err != nil {
+			return false, err
+		}
+		time.Sleep(pauseBetween)
+	}
+	time.Sleep(settleTime)
+	since := time.Now()
+	time.Sleep(judgedTime)
+	stop()
+	ledgerShare, ledgerCount := servedShare(ledger(), since)
+	roundsShare, roundsCount := servedShare(rounds(), since)
+	all := (ledgerShare*float64(ledgerCount) + roundsShare*float64(roundsCount)) / float64(ledgerCount+roundsCount)
+	s.record.note("from %.3f s on: ledger %.3f of %d served, rounds %.3f of %d, all %.3f", since.Sub(s.record.start).Seconds(), ledgerShare, ledgerCount, roundsShare, roundsCount, all)
+	return ledgerShare < all/4, nil
+}
+
+// reuseAddress starts a server of the other service at the address of one that has ended.
+func (s *site) reuseAddress(address string, i int) error {
+	v := &server{site: s, id: fmt.Sprintf("i-next%d", i), service: "rounds", zone: zones[i%len(zones)], work: 30 * time.Millisecond}
+	s.mu.Lock()
+	s.servers = append(append([]*server{}, s.servers...), v)
+	s.mu.Unlock()
+	return v.startAt(address)
+}
+
+// runEncodedSlash sends requests whose path contains an encoded slash, and checks that they run
+// at the service of the route whose prefix begins the path.
+func runEncodedSlash(ctx context.Context, s *site, isTroubled bool) (isBroken bool, err error) {
+	if _, err := startFleet(ctx, s, 3); err != nil {
+		return false, err
+	}
+	target := "/rounds/ledger-x"
+	if isTroubled {
+		target = "/rounds/ledger%2Fx"
+	}
+	wrong := 0
+	for i := range 60 {
+		a := s.ask(ctx, s.nodes[i%len(s.nodes)], http.MethodGet, target, newID("c"), noKey, 2500*time.Millisecond)
+		if a.status == http.StatusOK && a.service != "rounds" {
+			wrong++
+		}
+	}
+	s.record.note("%d of 60 requests for %s ran at another service than rounds", wrong, target)
+	return wrong > 0, nil
+}
