--- a/review/runner/cases.go
+++ b/review/runner/cases.go
@@ -148,3 +148,25 @@
 	s.record.note("%d of 60 requests for %s ran at another service than rounds", wrong, target)
 	return wrong > 0, nil
 }
+
+// runChangedPath sends requests whose path or query the nodes have to forward unchanged, and
+// checks what the servers receive.
+func runChangedPath(ctx context.Context, s *site, isTroubled bool) (isBroken bool, err error) {
+	if _, err := startFleet(ctx, s, 3); err != nil {
+		return false, err
+	}
+	targets := []string{"/rounds/a-b", "/rounds/a%7Cb?x=1"}
+	if isTroubled {
+		targets = []string{"/rounds/a?", "/rounds/a|b"}
+	}
+	changed := 0
+	for i := range 60 {
+		target, id := targets[i%len(targets)], newID("c")
+		s.ask(ctx, s.nodes[i%len(s.nodes)], http.MethodGet, target, id, noKey, 2500*time.Millisecond)
+		if got, ran := s.receivedTarget(id); ran && got != target {
+			changed++
+		}
+	}
+	s.record.note("%d of 60 requests for %q ran with another path or query", changed, targets)
+	return changed > 0, nil
+}
--- a/review/runner/main.go
+++ b/review/runner/main.go
@@ -29,6 +29,7 @@
 // the rule was broken.
 var cases = map[string]func(ctx context.Context, s *site, isTroubled bool) (isBroken bool, err error){
 	"moved-server":  runMovedServer,
+	"changed-path":  runChangedPath,
 	"encoded-slash": runEncodedSlash,
 	"quota-parted":  runQuotaParted,
 }
--- a/review/runner/server.go
+++ b/review/runner/server.go
@@ -140,6 +140,7 @@
 	defer v.finish()
 	tenantName := r.Header.Get("X-Apricotmount-Tenant")
 	v.site.recordRun(id, tenantName)
+	v.site.recordTarget(id, r.RequestURI)
 	v.site.record.note("server %s (%s) runs %s: %s %s %s", v.id, v.service, id, r.Method, r.RequestURI, tenantName)
 	_, _ = io.Copy(io.Discard, r.Body)
 	time.Sleep(v.work)
@@ -147,6 +148,25 @@
 	fmt.Fprintf(w, "%s ran %s for %s", v.id, id, v.service)
 }
 
+// recordTarget records the path and query with which a request runs.
+func (s *site) recordTarget(id, target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.targets == nil {
+		s.targets = map[string]string{}
+	}
+	s.targets[id] = target
+}
+
+// receivedTarget returns the path and query with which a request has run; ran is false if it
+// has not.
+func (s *site) receivedTarget(id string) (target string, ran bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	target, ran = s.targets[id]
+	return target, ran
+}
+
 // begin takes a slot; it returns false if all are taken.
 func (v *server) begin() bool {
 	v.mu.Lock()
--- a/review/runner/site.go
+++ b/review/runner/site.go
@@ -44,6 +44,8 @@
 	// sentAt holds when clients have sent requests of tenants, and tenantRuns those that ran.
 	sentAt     map[string]time.Time
 	tenantRuns []tenantRun
+	// targets holds the path and query with which each request has run.
+	targets map[string]string
 	// links, if set, carry the traffic between nodes.
 	links *links
 }
