--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases are the cases by name; each reports whether the rule was broken.
@@ -39,6 +41,13 @@
 		return couldNotRun
 	}
 	defer s.close()
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupts
+		s.close()
+		os.Exit(couldNotRun)
+	}()
 	broken, err := cases[name](s, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		rec.addf("the case could not run: %v", err)
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -31,16 +31,17 @@
 
 // site is a small deployment: the platform's store, servers and the processes under test.
 type site struct {
-	dir     string
-	program string
-	store   *platformtest.Store
-	address string // of the store
-	record  *record
-	nodes   []*node
-	servers []*server
-	closers []func()
-	stop    chan struct{}
-	beats   sync.WaitGroup
+	dir       string
+	program   string
+	store     *platformtest.Store
+	address   string // of the store
+	record    *record
+	nodes     []*node
+	servers   []*server
+	closers   []func()
+	stop      chan struct{}
+	beats     sync.WaitGroup
+	closeOnce sync.Once
 }
 
 // newSite starts the store.
@@ -231,8 +232,10 @@
 	return l, srv, nil
 }
 
-// close ends everything that the site has started.
-func (s *site) close() {
+// close ends everything that the site has started, once.
+func (s *site) close() { s.closeOnce.Do(s.closeAll) }
+
+func (s *site) closeAll() {
 	close(s.stop)
 	s.beats.Wait()
 	for _, n := range s.nodes {
@@ -249,7 +252,5 @@
 	for _, c := range s.closers {
 		c()
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(s.dir)
-	}
+	_ = os.RemoveAll(s.dir)
 }
