--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 SEEDS ?= 1
 
-.PHONY: build demo test lint measure prove capacity ci
+.PHONY: build demo test abuse lint measure prove capacity ci
 
 build:
 	go build -o bin/ ./cmd/...
@@ -13,6 +13,10 @@
 test:
 	go test work
 
+# Starts processes and measures their memory, so nothing else may run beside it.
+abuse:
+	cd proof && go test ./abuse -abuse -p 1 -timeout 15m
+
 # Renames run with gopls v0.23.0 (golang.org/x/tools/gopls, the newest that Go 1.26
 # builds), installed outside the workspace so that no module's versions move.
 lint:
