inventory, platform: apply the operator's limits while a head arrives

Callers that were slow or endless kept a connection, and its memory, for 30 s instead of the operator's headerTimeoutMs; a head over maxHeaderBytes was refused only once it was complete and parsed, and never if it had no end.

Cause: maxHeaderBytes was compared in the handler, with a sum over the parsed head, behind net/http's own limit of 1 MB; headerTimeoutMs was not read, and the port had a constant in its place.

The check of the parsed head stays.

--- a/inventory/limits.go
+++ b/inventory/limits.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/apricotmount/apricotmount/intake"
 	"github.com/apricotmount/apricotmount/outcome"
 )
 
@@ -18,6 +19,14 @@
 	return 0, ""
 }
 
+// IntakeLimits returns the limits that apply while a request is received; a nil plan has none.
+func (p *Plan) IntakeLimits() intake.Limits {
+	if p == nil {
+		return intake.Limits{}
+	}
+	return intake.Limits{HeadBytes: p.Limits.MaxHeaderBytes, HeadTime: p.Limits.HeaderTimeout, IdleTime: p.Limits.IdleTimeout}
+}
+
 // headerBytes returns the approximate length of a request's line and headers.
 func headerBytes(r *http.Request) (n int64) {
 	n = int64(len(r.Method) + len(r.RequestURI) + len(r.Host))
--- a/inventory/plan.go
+++ b/inventory/plan.go
@@ -35,6 +35,8 @@
 	// MaxHeaderBytes and MaxBodyBytes are the maximum lengths of a request's headers and
 	// body.
 	MaxHeaderBytes, MaxBodyBytes int64
+	// HeaderTimeout is the time in which a caller sends a request's head.
+	HeaderTimeout time.Duration
 	// IdleTimeout is the idle timeout of a caller's connection.
 	IdleTimeout time.Duration
 }
