listener, intake: bound the connections of each port

Ordinary callers got no answer while others held connections on which they sent nothing: the process had no descriptor left to accept them, and none for targets, the store or readiness checks.

Cause: a port accepted connections until the system refused more; limits.maxFds was read and not used.

Change: each port has a number of connections that follows from the descriptors and the memory of the process (intake.Shares), so that the node keeps descriptors for its own connections. When a port is full, the oldest connection without a request gives way, then one that is idle for longer than the operator's idleTimeoutMs, then the oldest unfinished head; a request that is being served never does. If all are being served, the new connection is closed unread, which lets clients repeat any request.

--- a/gateway/node.go
+++ b/gateway/node.go
@@ -134,7 +134,7 @@
 func NewNode(s Settings, d Dependencies) *Node {
 	n := &Node{settings: s, entrySettings: d.EntrySettings, store: d.Store, backups: d.Backups, logger: d.Logger.With(zap.String("node", s.Name)), droppedLogLines: d.DroppedLogLines, registry: d.Metrics, requestIDHeader: d.RequestIDHeader}
 	n.reloadable.Store(&s)
-	shares := intake.Shares{MemoryBytes: int64(s.MemoryLimitMB * (1 << 20))}
+	shares := intake.Shares{MemoryBytes: int64(s.MemoryLimitMB * (1 << 20)), Descriptors: s.MaxDescriptors}
 	n.entrySettings.MaxBufferedBytes = shares.BodyBudget()
 	n.initialized = make(chan struct{})
 	n.pathDoubt = make(chan struct{}, 1)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -27,9 +27,12 @@
 	// IsFirstFleetStart is set if the whole fleet starts for the first time.
 	IsFirstFleetStart bool
 	// MemoryLimitMB is the memory limit of the process in megabytes; zero means no
-	// limit. It bounds the request bodies that are buffered and the heads that are
-	// open.
+	// limit. It bounds the request bodies that are buffered, the heads that are open and
+	// the connections.
 	MemoryLimitMB float64
+	// MaxDescriptors is the number of descriptors that the process may open; zero means no
+	// limit. It bounds the connections.
+	MaxDescriptors int
 	// GracePeriod is the time from the signal to stop until the process is killed.
 	GracePeriod   time.Duration
 	ExtraAttempts ExtraAttemptLimit
--- a/intake/budget_test.go
+++ b/intake/budget_test.go
@@ -13,6 +13,16 @@
 	if got := live * (1 + GarbagePercent/100.0); got > 1.000001 {
 		t.Errorf("memory with garbage: got %.3f of it, want at most all", got)
 	}
+	for _, s := range []Shares{{96 << 20, 4100}, {136 << 20, 2870}, {284 << 20, 4100}, {536 << 20, 8192}, {284 << 20, 600}} {
+		open := s.CallerConnections() + s.PeerConnections() + 2*s.SmallPortConnections()
+		if got, limit := int64(open)*ConnectionBytes, int64(ConnectionShare*float64(s.MemoryBytes)); got > limit {
+			t.Errorf("%+v: memory of connections: got %d, want at most %d", s, got, limit)
+		}
+		// Each connection of a caller or a node may need one to a target.
+		if got := open + s.CallerConnections() + fileDescriptors; got > s.Descriptors {
+			t.Errorf("%+v: descriptors: got %d, want at most %d", s, got, s.Descriptors)
+		}
+	}
 }
 
 // A budget must not be exceeded, and the heads that take most must give way first.
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -45,7 +45,8 @@
 	return Limits{HeadBytes: 2*l.WithDefaults().HeadBytes + added.HeadBytes, HeadTime: added.HeadTime, IdleTime: added.IdleTime}
 }
 
-// Refusal is the reason why a request is refused before its head is parsed.
+// Refusal is the reason why a request is refused before its head is parsed, or why a connection
+// is closed.
 type Refusal string
 
 // The reasons.
@@ -55,10 +56,12 @@
 	HeadTooSlow Refusal = "head-too-slow"
 	// NoMemory: the heads of all connections take as much memory as they may.
 	NoMemory Refusal = "no-memory"
+	// NoConnection: the port has as many connections as it may.
+	NoConnection Refusal = "no-connection"
 )
 
 // Refusals lists the reasons.
-var Refusals = []Refusal{HeadTooLong, HeadTooSlow, NoMemory}
+var Refusals = []Refusal{HeadTooLong, HeadTooSlow, NoMemory, NoConnection}
 
 // Status returns the status of a refusal. Clients do not retry after 431, so it is for clients
 // that broke a limit; 408 and 503 state that the request has not run.
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -233,6 +233,13 @@
 	return c.isComplete || (len(c.buffer) > 0 || c.head.HasBegun()) && now.Sub(c.headSince) <= age
 }
 
+// receivingSince returns when the head that is being received began; ok is false if there is none.
+func (c *conn) receivingSince() (since time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headSince, c.part == inHead && c.head.HasBegun() && !c.isComplete
+}
+
 const (
 	// lingerTime and lingerBytes bound what is still read from a client that was refused. If
 	// bytes were left unread, the system would reset the connection, and the refusal would
--- a/listener/conns.go
+++ b/listener/conns.go
@@ -85,6 +85,49 @@
 	return hasUnread(nc)
 }
 
+// closeLeastNeeded closes one connection on which no request is being served: of those without
+// any request so far the oldest, or else of those that are idle for longer than timeout, or else
+// the one that has been sending its head for longest. It reports false if there is none.
+func (c *conns) closeLeastNeeded(now time.Time, timeout time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var unused, idle, receiving net.Conn
+	var unusedSince, idleSince, receivingSince time.Time
+	for nc, s := range c.states {
+		if s.state == http.StateActive {
+			continue
+		}
+		if part, ok := nc.(*conn); ok {
+			if since, ok := part.receivingSince(); ok {
+				receiving, receivingSince = older(receiving, receivingSince, nc, since)
+				continue
+			}
+		}
+		switch {
+		case s.state == http.StateNew:
+			unused, unusedSince = older(unused, unusedSince, nc, s.since)
+		case timeout > 0 && now.Sub(s.since) > timeout:
+			idle, idleSince = older(idle, idleSince, nc, s.since)
+		}
+	}
+	for _, nc := range []net.Conn{unused, idle, receiving} {
+		if nc != nil && (nc == receiving || !hasUnread(nc)) {
+			nc.Close()
+			delete(c.states, nc)
+			return true
+		}
+	}
+	return false
+}
+
+// older returns the older one of two connections; the first may be nil.
+func older(a net.Conn, aSince time.Time, b net.Conn, bSince time.Time) (net.Conn, time.Time) {
+	if a == nil || bSince.Before(aSince) {
+		return b, bSince
+	}
+	return a, aSince
+}
+
 // count returns the number of open connections.
 func (c *conns) count() int {
 	c.mu.Lock()
--- a/listener/intake.go
+++ b/listener/intake.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/apricotmount/apricotmount/intake"
 )
@@ -15,7 +16,10 @@
 	Limits func() intake.Limits
 	// Budget, if set, bounds the memory of the heads. Several servers may share one.
 	Budget *intake.Budget
-	// OnRefusal, if set, is called for each request that is refused.
+	// MaxConnections is the maximum number of open connections; zero means no limit.
+	MaxConnections int
+	// OnRefusal, if set, is called for each request that is refused and each connection that
+	// is closed for a limit.
 	OnRefusal func(intake.Refusal)
 }
 
@@ -57,17 +61,38 @@
 	s.conns.trackState(nc, state)
 }
 
-// limitedListener accepts connections whose heads are bounded.
+// limitedListener accepts connections whose heads and number are bounded.
 type limitedListener struct {
 	*Listener
 	server *Server
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection. If there are as many as there may be, another one gives
+// way, or the new one is closed.
 func (l limitedListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.server.makeRoom() {
+			return newConn(l.server, nc), nil
+		}
+		nc.Close()
+		l.server.intake.reportRefusal(intake.NoConnection)
 	}
-	return newConn(l.server, nc), nil
+}
+
+// makeRoom reports whether there is room for one more connection. If there is none, the
+// connection that gives way first is closed.
+func (s *Server) makeRoom() bool {
+	limit := s.intake.MaxConnections
+	if limit <= 0 || s.conns.count() < limit {
+		return true
+	}
+	if !s.conns.closeLeastNeeded(time.Now(), s.intake.limits().IdleTime) {
+		return false
+	}
+	s.intake.reportRefusal(intake.NoConnection)
+	return true
 }
--- a/listener/intake_test.go
+++ b/listener/intake_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -185,6 +188,21 @@
 	}
 }
 
+// A connection whose request is served for longer than connections may be idle does not give way.
+func TestServedRequestDoesNotGiveWay(t *testing.T) {
+	s := startLimited(t, Intake{MaxConnections: 1, Limits: limits(intake.Limits{IdleTime: time.Millisecond})})
+	serving := dial(t, s)
+	io.WriteString(serving, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	time.Sleep(50 * time.Millisecond)
+	if _, err := request(dial(t, s), "/"); err == nil {
+		t.Error("second connection: got a response, want it closed")
+	}
+	serving.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := serving.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("first connection: got %v, want it open", err)
+	}
+}
+
 // A limit that was raised while a head is received applies to it; one that was lowered does not.
 func TestHeadKeepsToLimitsOfItsStart(t *testing.T) {
 	var current atomic.Pointer[intake.Limits]
@@ -217,3 +235,35 @@
 		}
 	}
 }
+
+// When a port has all its connections, those without a request give way, and then unfinished
+// heads; a request that is being served does not.
+func TestConnectionsGiveWayInOrder(t *testing.T) {
+	const limit = 3
+	s := startLimited(t, Intake{MaxConnections: limit, Limits: limits(intake.Limits{IdleTime: time.Hour})})
+	open := func(text string) net.Conn {
+		conn := dial(t, s)
+		io.WriteString(conn, text)
+		time.Sleep(30 * time.Millisecond)
+		return conn
+	}
+	isClosed := func(conn net.Conn) bool {
+		conn.SetReadDeadline(time.Now().Add(30 * time.Millisecond))
+		_, err := conn.Read(make([]byte, 1))
+		netErr, ok := err.(net.Error)
+		return err != nil && !(ok && netErr.Timeout())
+	}
+	const ordinary = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	serving, unfinished, unused := open("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"), open("GET / HTTP/1.1\r\n"), open("")
+	idle := open(ordinary)
+	if status, _ := readResponse(bufio.NewReader(idle)); status != http.StatusOK || !isClosed(unused) {
+		t.Errorf("fourth connection: got status %d, want 200 in place of the unused connection", status)
+	}
+	open("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	if !isClosed(unfinished) || isClosed(idle) || isClosed(serving) {
+		t.Error("fifth connection: want it in place of the unfinished head")
+	}
+	if last := open(ordinary); !isClosed(last) || isClosed(idle) || isClosed(serving) {
+		t.Error("sixth connection: want it closed, as others may be in use")
+	}
+}
--- a/listener/pending_linux.go
+++ b/listener/pending_linux.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"math"
 	"net"
 	"os"
 	"syscall"
@@ -24,6 +25,15 @@
 	return err == nil && recvErr == nil && n > 0
 }
 
+// descriptorLimit returns the number of descriptors that the process may open; zero means unknown.
+func descriptorLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // pendingConn accepts a connection without waiting for one.
 func pendingConn(l *net.TCPListener) (c net.Conn, ok bool) {
 	raw, err := l.SyscallConn()
