wire: bound the header lines of a response

Heads of answers with very many short lines, from a server in trouble, filled the memory of the process.

Cause: a response's head was bounded in bytes (64 KB) only, and each line takes memory of its own; with one call at each of many connections the sum was not bounded.

Change: a response may have 256 header lines, counted while they arrive, and one of another node 32 more, which are its own. Interim responses count by themselves (their number was bounded before). A response beyond that is broken, like one without end: the call may be sent to another target if it is idempotent, and gets 502 otherwise.

--- a/relay/sender.go
+++ b/relay/sender.go
@@ -35,6 +35,9 @@
 	// maxReadAge is the time since data was last received on a connection from which it is
 	// replaced: it may have gone silent.
 	maxReadAge = 500 * time.Millisecond
+	// maxResponseLines is the maximum number of header lines of a node's response: those of a
+	// target, and its own.
+	maxResponseLines = wire.DefaultResponseLines + 32
 )
 
 // Sender sends calls through other nodes. It implements entry.Forwarder, entry.Pools and
@@ -146,7 +149,7 @@
 	if p := s.pools[ref.ID]; p != nil && p.Ref.Address == ref.Address {
 		return p
 	}
-	p := wire.NewPool(ref, wire.Settings{Protocol: s.protocol, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxReadAge: maxReadAge, RequireRecentRead: true, RequireInstance: true}, slotsPerNode, 0, nil, s)
+	p := wire.NewPool(ref, wire.Settings{Protocol: s.protocol, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxReadAge: maxReadAge, RequireRecentRead: true, RequireInstance: true, MaxResponseLines: maxResponseLines}, slotsPerNode, 0, nil, s)
 	s.pools[ref.ID] = p
 	return p
 }
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -30,6 +30,7 @@
 type trackedConn struct {
 	net.Conn
 	exchange     exchange
+	response     responseHead
 	writtenBytes atomic.Int64
 	// lastReadAt is the time of that read in nanoseconds since epoch; 0 means none.
 	lastReadAt  atomic.Int64
@@ -56,6 +57,9 @@
 	if err := t.exchange.endRead(n); err != nil {
 		return 0, err
 	}
+	if err := t.response.add(b[:n]); err != nil {
+		return 0, err
+	}
 	if n > 0 {
 		t.lastReadAt.Store(int64(time.Since(epoch)))
 	}
@@ -87,6 +91,7 @@
 func newConn(p *Pool, nc net.Conn) *Conn {
 	c := &Conn{pool: p}
 	c.netConn = &trackedConn{Conn: nc, onReadError: c.handleReadError}
+	c.netConn.response.maxLines = p.settings.MaxResponseLines
 	var dialled atomic.Bool
 	c.transport = &http.Transport{
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
@@ -132,6 +137,7 @@
 	if err := c.netConn.exchange.awaitReady(req.Context()); err != nil {
 		return nil, false, err
 	}
+	c.netConn.response.begin()
 	writtenBefore := c.netConn.writtenBytes.Load()
 	if maySend != nil && !maySend() {
 		return nil, false, ErrSendDenied
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -31,6 +32,8 @@
 	// IdleTimeout is the time after which an idle connection is closed. Default
 	// 20 s.
 	IdleTimeout time.Duration
+	// MaxResponseLines is the maximum number of header lines of a response. Default 256.
+	MaxResponseLines int
 }
 
 const (
@@ -44,6 +47,7 @@
 )
 
 func (s Settings) withDefaults() Settings {
+	s.MaxResponseLines = cmp.Or(s.MaxResponseLines, DefaultResponseLines)
 	if s.Protocol == (Protocol{}) {
 		s.Protocol = DefaultProtocol
 	}
