event: bound the memory of log lines that wait

With a log whose reader pauses, requests with long IDs filled the memory of the process.

Cause: lines that wait for the reader were bounded in number (2,048), not in bytes, and a line holds the request's ID, which its sender chooses: 16 KB of it are legal, and bytes that are no text are escaped to three times their length.

Change: a line holds at most 128 bytes of an ID, and at most 2 MB of lines wait; further ones are dropped and counted as before.

--- a/event/event.go
+++ b/event/event.go
@@ -30,6 +30,12 @@
 	}
 }
 
+// maxIDBytes is the maximum length of a request's ID in a log line. Callers choose the IDs.
+const maxIDBytes = 128
+
+// RequestID returns the field with the ID of a request, shortened if it is too long.
+func RequestID(id string) zap.Field { return zap.String("id", id[:min(len(id), maxIDBytes)]) }
+
 // Events of the node lifecycle.
 var (
 	NodeStarting   = register(100, "node-starting", zap.InfoLevel, "The node has read its settings and is opening its ports.")
--- a/event/sink.go
+++ b/event/sink.go
@@ -14,6 +14,8 @@
 	// sinkCapacity is the number of lines that are buffered for a slow reader.
 	// Further lines are dropped.
 	sinkCapacity = 2048
+	// maxQueuedBytes is the maximum length of the buffered lines together.
+	maxQueuedBytes = 2 << 20
 	// maxLinesPerSecond is the maximum number of lines per second of one event.
 	maxLinesPerSecond = 200
 )
@@ -21,8 +23,10 @@
 // Sink writes log lines without blocking the caller. If the reader is too slow,
 // lines are dropped and counted.
 type Sink struct {
-	lines   chan []byte
-	dropped atomic.Int64
+	lines chan []byte
+	// queuedBytes is the length of the lines that are buffered.
+	queuedBytes atomic.Int64
+	dropped     atomic.Int64
 	// stop is closed to end the writer goroutine, and done when it has ended.
 	stop     chan struct{}
 	done     chan struct{}
@@ -41,7 +45,7 @@
 	for {
 		select {
 		case b := <-s.lines:
-			writeLine(w, b)
+			s.writeLine(w, b)
 		case <-s.stop:
 			s.drain(w)
 			return
@@ -54,14 +58,15 @@
 	for {
 		select {
 		case b := <-s.lines:
-			writeLine(w, b)
+			s.writeLine(w, b)
 		default:
 			return
 		}
 	}
 }
 
-func writeLine(w io.Writer, b []byte) {
+func (s *Sink) writeLine(w io.Writer, b []byte) {
+	defer s.queuedBytes.Add(-int64(len(b)))
 	// A write error cannot be reported, since the log itself has failed.
 	_, _ = w.Write(b)
 }
@@ -69,12 +74,21 @@
 // Write buffers a copy of one line and never fails. It drops the line if the
 // buffer is full, and may drop it once Close was called.
 func (s *Sink) Write(b []byte) (int, error) {
+	if s.queuedBytes.Add(int64(len(b))) > maxQueuedBytes || !s.queue(b) {
+		s.queuedBytes.Add(-int64(len(b)))
+		s.dropped.Add(1)
+	}
+	return len(b), nil
+}
+
+// queue buffers a copy of a line. It reports false if there are too many.
+func (s *Sink) queue(b []byte) bool {
 	select {
 	case s.lines <- append([]byte(nil), b...):
+		return true
 	default:
-		s.dropped.Add(1)
+		return false
 	}
-	return len(b), nil
 }
 
 // Sync does nothing. Close writes the buffered lines.
--- a/event/sink_test.go
+++ b/event/sink_test.go
@@ -43,6 +43,34 @@
 	}
 }
 
+// Long lines that wait for a paused reader must not take more memory than a bound.
+func TestLongLinesInUnreadLogAreDropped(t *testing.T) {
+	release := make(chan struct{})
+	sink := NewSink(blockedWriter{release})
+	line := bytes.Repeat([]byte("x"), 100<<10)
+	for range sinkCapacity {
+		sink.Write(line)
+	}
+	if got := sink.queuedBytes.Load(); got > maxQueuedBytes {
+		t.Errorf("buffered bytes: got %d, want at most %d", got, maxQueuedBytes)
+	}
+	close(release)
+	sink.Close(10 * time.Second)
+	if got := sink.queuedBytes.Load(); got != 0 {
+		t.Errorf("buffered bytes at the end: got %d, want none", got)
+	}
+}
+
+// Callers choose the IDs of their requests, which may be as long as a head.
+func TestLongRequestIDIsShortened(t *testing.T) {
+	if got := RequestID(strings.Repeat("x", 1000)).String; len(got) != maxIDBytes {
+		t.Errorf("long ID: got %d bytes, want %d", len(got), maxIDBytes)
+	}
+	if got := RequestID("9c41d07be2a35f68").String; got != "9c41d07be2a35f68" {
+		t.Errorf("ordinary ID: got %q, want it whole", got)
+	}
+}
+
 // lockedBuffer is a buffer that is safe for concurrent use.
 type lockedBuffer struct {
 	mu sync.Mutex
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -33,7 +33,7 @@
 // ObserveDecision logs a decision on a call with the values it was based on.
 func (n *Node) ObserveDecision(c *dispatch.Call, d dispatch.Decision) {
 	fields := []zap.Field{
-		zap.String("id", c.ID), zap.String("target", string(d.Target.ID)), zap.Int64("since-ms", d.SinceArrival.Milliseconds()),
+		event.RequestID(c.ID), zap.String("target", string(d.Target.ID)), zap.Int64("since-ms", d.SinceArrival.Milliseconds()),
 		zap.Int64("version", n.planVersion()), zap.Int64("forecast-ms", d.Forecast.Milliseconds()), zap.Int64("limit-ms", d.ForecastLimit.Milliseconds()),
 	}
 	if d.LoadReport.IsDetailed {
@@ -162,7 +162,7 @@
 func (n *Node) callEndFields(e entry.CallResult) []zap.Field {
 	return []zap.Field{
 		zap.Int64("version", n.planVersion()),
-		zap.String("id", e.Request.Header.Get(n.requestIDHeader)), zap.String("service", string(e.Service)),
+		event.RequestID(e.Request.Header.Get(n.requestIDHeader)), zap.String("service", string(e.Service)),
 		zap.Int64("took-ms", e.TotalDuration.Milliseconds()), zap.Int("further", e.ExtraAttempts),
 		zap.String("reason", string(e.Reason)), zap.Int("status", e.Status),
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -31,13 +31,13 @@
 
 // logRelayed logs a call that another node has sent.
 func (n *Node) logRelayed(r *http.Request, from string) {
-	event.CallRelayed.Log(n.logger, zap.String("id", r.Header.Get(n.requestIDHeader)), zap.String("from", from), zap.Int64("version", n.planVersion()))
+	event.CallRelayed.Log(n.logger, event.RequestID(r.Header.Get(n.requestIDHeader)), zap.String("from", from), zap.Int64("version", n.planVersion()))
 }
 
 // logRelayRefused logs a call of another node that this one did not take, and counts it.
 func (n *Node) logRelayRefused(r *http.Request, from string, reason relay.Refusal) {
 	n.gatewayMetrics.CountRelayRefusal(string(reason))
-	event.RelayRefused.Log(n.logger, zap.String("id", r.Header.Get(n.requestIDHeader)), zap.String("from", from), zap.String("reason", string(reason)))
+	event.RelayRefused.Log(n.logger, event.RequestID(r.Header.Get(n.requestIDHeader)), zap.String("from", from), zap.String("reason", string(reason)))
 }
 
 // forwardObserver logs the decisions on calls that go through other nodes.
@@ -45,7 +45,7 @@
 
 // ObserveDecision logs to which node a call is sent, or that this failed.
 func (o forwardObserver) ObserveDecision(c *dispatch.Call, d dispatch.Decision) {
-	fields := []zap.Field{zap.String("id", c.ID), zap.String("via", string(d.Target.ID)), zap.Int64("since-ms", d.SinceArrival.Milliseconds()), zap.Int64("version", o.node.planVersion())}
+	fields := []zap.Field{event.RequestID(c.ID), zap.String("via", string(d.Target.ID)), zap.Int64("since-ms", d.SinceArrival.Milliseconds()), zap.Int64("version", o.node.planVersion())}
 	switch d.Kind {
 	case dispatch.Placed:
 		event.CallForwarded.Log(o.node.logger, append(fields, zap.Int("runs", d.RunCount), zap.Int("extra-left", d.ExtraAttemptsLeft))...)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -55,7 +55,7 @@
 // refuse ends a call with a status before it is routed; it logs and counts the reason.
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, status int, reason outcome.Reason) {
 	n.callMetrics.CountNotRun(reason)
-	event.CallNotRun.Log(n.logger, zap.String("id", r.Header.Get(n.requestIDHeader)), zap.String("reason", string(reason)),
+	event.CallNotRun.Log(n.logger, event.RequestID(r.Header.Get(n.requestIDHeader)), zap.String("reason", string(reason)),
 		zap.Int64("version", n.planVersion()), zap.Int("status", status), tenant.LogField(r.Context()))
 	w.WriteHeader(status)
 }
--- a/proof/abuse/abuse_test.go
+++ b/proof/abuse/abuse_test.go
@@ -163,6 +163,17 @@
 	n.checkAlive(maxFDs)
 }
 
+// Long IDs of requests must not fill the memory when the log is not read.
+func TestLongIDsInUnreadLog(t *testing.T) {
+	n := startLoggingNode(t, maxFDs, unreadLog(t))
+	open(t, n.callers, crowdSize, func(i int) client {
+		start := requestStart("/quick/x", i)
+		id := strings.Repeat("\x80", maxHeaderBytes-len(start)-100)
+		return client{piece: strings.Replace(start, "crowd-", id, 1) + "\r\n", count: 20}
+	}).hold()
+	n.checkAlive(maxFDs)
+}
+
 // A planned stop while a crowd is connected ends in time, and cuts no ordinary request.
 func TestPlannedStopWithCrowd(t *testing.T) {
 	n := startNode(t, maxFDs)
--- a/proof/abuse/node_test.go
+++ b/proof/abuse/node_test.go
@@ -90,6 +90,8 @@
 	store   *platformtest.Store
 	process *exec.Cmd
 	log     bytes.Buffer
+	// logFile, if set, gets the standard output.
+	logFile io.Writer
 	ended   chan error
 	// callers, readiness, peers and metrics are the addresses of its ports.
 	callers, readiness, peers, metrics string
@@ -98,6 +100,20 @@
 	memoryMB int
 }
 
+// unreadLog returns a pipe that nobody reads.
+func unreadLog(t *testing.T) io.Writer {
+	t.Helper()
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		r.Close()
+		w.Close()
+	})
+	return w
+}
+
 // plan returns a plan with limits for heads.
 func plan(version, headerBytes int) string {
 	return fmt.Sprintf(`{"version":%d,"services":[{"name":"a","healthPath":"/health","maxConns":500,"warmupS":1,"warmupPerS":9},{"name":"b","healthPath":"/health","maxConns":500,"warmupS":1,"warmupPerS":9},{"name":"c","healthPath":"/health","maxConns":5000,"warmupS":1,"warmupPerS":9}],
@@ -108,12 +124,15 @@
 }
 
 // startNode starts a node with a limit of descriptors and waits until it serves.
-func startNode(t *testing.T, fds int) *node {
+func startNode(t *testing.T, fds int) *node { return startLoggingNode(t, fds, nil) }
+
+// startLoggingNode is as startNode; the node writes its log to a file, if that is set.
+func startLoggingNode(t *testing.T, fds int, log io.Writer) *node {
 	t.Helper()
 	if !*runAbuse {
 		t.Skip("runs alone, with -abuse: it measures the memory of processes")
 	}
-	n := &node{t: t, store: &platformtest.Store{}, ended: make(chan error, 1), memoryMB: memoryMB}
+	n := &node{t: t, logFile: log, store: &platformtest.Store{}, ended: make(chan error, 1), memoryMB: memoryMB}
 	n.store.Put(platformtest.OperatorTopic, "config", plan(1, maxHeaderBytes))
 	n.addTarget("a", time.Second, nil)
 	n.addTarget("b", time.Millisecond, nil)
@@ -152,6 +171,9 @@
 	n.process = exec.Command("sh", args...)
 	n.process.Env = append(os.Environ(), platform.SettingsPathEnv+"="+n.settingsPath)
 	n.process.Stdout, n.process.Stderr = &n.log, &n.log
+	if n.logFile != nil {
+		n.process.Stdout = n.logFile
+	}
 	if err := n.process.Start(); err != nil {
 		n.t.Fatal(err)
 	}
