node, settings: bound what clients may send to a node with the project's settings

Clients with long heads ended a node with the project's own settings too: at its ports for callers, operators, other nodes and health checks.

Cause: as on the users' platform; besides, its inner ports had net/http's limit of 1 MB, and the process had no number for its memory.

Change: the same bounds by the same code (listener.Ports) at all four ports. node.memory-mb (256) states the memory, of which bodies, heads and connections get their parts; calls.max-header-bytes (1 MiB) the limit of a head. The runtime collects garbage more often above nine tenths of the memory, since the heap of this program may otherwise grow to four times what lives.

--- a/cmd/apricotmount/standalone.go
+++ b/cmd/apricotmount/standalone.go
@@ -25,6 +25,10 @@
 // the heap may grow to about 40 MB between collections.
 const gcPercent = 300
 
+// memoryLimitShare is the part of the process' memory, in percent, above which the heap is collected
+// more often. What the node keeps fits into less of it; see intake.Shares.
+const memoryLimitShare = 90
+
 // runStandalone runs a node with this project's own settings file. Depending on the
 // arguments it only checks the file or prints the defaults.
 func runStandalone(p *arg.Parser, args arguments) {
@@ -51,6 +55,7 @@
 // that were aborted.
 func run(s settings.Settings) error {
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimitShare * int64(s.MemoryMB) << 20 / 100)
 	cfg := zap.NewProductionConfig()
 	cfg.Level = zap.NewAtomicLevelAt(s.LogLevel)
 	logger, err := cfg.Build()
--- a/node/node.go
+++ b/node/node.go
@@ -95,7 +95,7 @@
 		Claims:     claimAdapter{n.claimManager},
 		Dispatcher: &dispatch.Dispatcher{Checks: n.invariantChecks, RefusalBudget: n.probeBudget},
 		Metrics:    metrics.NewCalls(registry.Scope),
-		Settings:   entry.Settings{Protocol: s.TargetProtocol, CallerHeader: s.CallerHeader, ReplayBufferBytes: s.ReplayBufferBytes},
+		Settings:   entry.Settings{Protocol: s.TargetProtocol, CallerHeader: s.CallerHeader, ReplayBufferBytes: s.ReplayBufferBytes, MaxBufferedBytes: s.Shares().BodyBudget()},
 	}
 	n.callerHandler.Dispatcher.ExtraAttemptCounter = n.callerHandler.Metrics
 	n.hub = &peer.Hub{Delegate: peerDelegate{n}, Self: self.Incarnation, Settings: peer.Settings{Token: s.PeerToken}, Addresses: n.peerAddresses}
@@ -170,23 +170,24 @@
 // listen opens the caller, operator, peer and health ports and serves them.
 func (n *Node) listen() (err error) {
 	s := n.settings
-	callers := &http.Server{Handler: n.callerHandler, ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout, ErrorLog: discardLog}
-	if n.callerServer, err = listener.Serve(s.CallerAddress, callers); err != nil {
+	ports := listener.NewPorts(s.Shares(), s.IntakeLimits, nil)
+	callers := &http.Server{Handler: n.callerHandler, IdleTimeout: s.IdleTimeout, ErrorLog: discardLog}
+	if n.callerServer, err = listener.ServeLimited(s.CallerAddress, callers, ports.Callers()); err != nil {
 		return err
 	}
 	operatorAPI, err := operator.NewHandler(operatorNode{n}, s.OperatorToken)
 	if err != nil {
 		return err
 	}
-	if n.operatorServer, err = listener.Serve(s.OperatorAddress, newInternalServer(operatorAPI)); err != nil {
+	if n.operatorServer, err = listener.ServeLimited(s.OperatorAddress, newInternalServer(operatorAPI), ports.Small()); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, n.hub)
-	if n.peerServer, err = listener.Serve(s.PeerAddress, newInternalServer(mux)); err != nil {
+	if n.peerServer, err = listener.ServeLimited(s.PeerAddress, newInternalServer(mux), ports.Peers()); err != nil {
 		return err
 	}
-	n.healthServer, err = listener.Serve(s.HealthAddress, newInternalServer(n.healthHandler()))
+	n.healthServer, err = listener.ServeLimited(s.HealthAddress, newInternalServer(n.healthHandler()), ports.Small())
 	return err
 }
 
@@ -204,12 +205,8 @@
 	return n.invariantChecks
 }
 
-// internalHeaderTimeout bounds reading the request headers on the operator, peer
-// and health ports.
-const internalHeaderTimeout = 5 * time.Second
-
 func newInternalServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: internalHeaderTimeout, ErrorLog: discardLog}
+	return &http.Server{Handler: h, ErrorLog: discardLog}
 }
 
 // addressOf returns the address of a server's port, or "" if there is none.
--- a/settings/document.go
+++ b/settings/document.go
@@ -15,10 +15,12 @@
 	Log            LogDocument       `yaml:"log"`
 }
 
-// NodeDocument identifies the node by its VM and availability zone.
+// NodeDocument identifies the node by its VM and availability zone, and states the memory that its
+// process may take, in megabytes.
 type NodeDocument struct {
-	VM   string `yaml:"vm"`
-	Zone string `yaml:"zone"`
+	VM       string `yaml:"vm"`
+	Zone     string `yaml:"zone"`
+	MemoryMB int    `yaml:"memory-mb"`
 }
 
 // ListenDocument holds the addresses that the node listens on, as IP:port.
@@ -59,6 +61,7 @@
 	ReplayBufferBytes int    `yaml:"replay-buffer-bytes"`
 	IdleTimeout       string `yaml:"idle-timeout"`
 	HeaderTimeout     string `yaml:"header-timeout"`
+	MaxHeaderBytes    int    `yaml:"max-header-bytes"`
 }
 
 // MeasuringDocument is the budget for measuring the load of targets, per second.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 	"github.com/apricotmount/apricotmount/admission"
 	"github.com/apricotmount/apricotmount/document"
 	"github.com/apricotmount/apricotmount/fault"
+	"github.com/apricotmount/apricotmount/intake"
 	"github.com/apricotmount/apricotmount/measuring"
 	"github.com/apricotmount/apricotmount/unit"
 	"github.com/apricotmount/apricotmount/vm"
@@ -61,6 +62,12 @@
 	// HeaderTimeout is the maximum time for reading the headers of a caller's
 	// request.
 	HeaderTimeout time.Duration
+	// MaxHeaderBytes is the maximum length of the names and values of a request's headers,
+	// in bytes.
+	MaxHeaderBytes int64
+	// MemoryMB is the memory that the process may take, in megabytes. It bounds the request
+	// bodies that are buffered, the heads that are open and the connections.
+	MemoryMB int
 
 	Measuring measuring.Settings
 	// FleetClaimAppendsPerSecond is the maximum rate of log appends for claims by
@@ -73,16 +80,29 @@
 	LogLevel       zapcore.Level
 }
 
+// Shares returns the memory that the node divides among what it holds.
+func (s Settings) Shares() intake.Shares {
+	return intake.Shares{MemoryBytes: int64(s.MemoryMB) << 20}
+}
+
+// IntakeLimits returns the limits on the heads of callers.
+func (s Settings) IntakeLimits() intake.Limits {
+	return intake.Limits{HeadBytes: s.MaxHeaderBytes, HeadTime: s.HeaderTimeout, IdleTime: s.IdleTimeout}
+}
+
+// defaultMemoryMB is the memory of a process whose settings do not state it, in megabytes.
+const defaultMemoryMB = 256
+
 // Defaults returns a document with the default of every key. The values of
 // node.vm and node.zone are examples.
 func Defaults() Document {
 	p := wire.DefaultProtocol
 	return Document{
-		Node:      NodeDocument{VM: "entry-1", Zone: "howrah"},
+		Node:      NodeDocument{VM: "entry-1", Zone: "howrah", MemoryMB: defaultMemoryMB},
 		Listen:    ListenDocument{Callers: "127.0.0.1:8080", Operators: "127.0.0.1:8081", Peers: "127.0.0.1:8082", Health: "127.0.0.1:8083"},
 		Platform:  PlatformDocument{Log: "http://127.0.0.1:9000", VMs: "http://127.0.0.1:9000", LogRetention: "24h0m0s", ListEvery: "2s"},
 		Stop:      StopDocument{Grace: "5s", Limit: "1m0s"},
-		Calls:     CallsDocument{MaxHeld: admission.DefaultCapacity, CallerHeader: "X-Forwarded-For", ReplayBufferBytes: 64 << 10, IdleTimeout: "1m0s", HeaderTimeout: "10s"},
+		Calls:     CallsDocument{MaxHeld: admission.DefaultCapacity, CallerHeader: "X-Forwarded-For", ReplayBufferBytes: 64 << 10, IdleTimeout: "1m0s", HeaderTimeout: "10s", MaxHeaderBytes: intake.DefaultHeadBytes},
 		Measuring: MeasuringDocument{MessagesPerSecond: 40, BytesPerSecond: 8192, TargetTimePerSecond: "40ms", RefusalsPerSecond: 1000},
 		Claims:    ClaimsDocument{FleetAppendsPerSecond: 150, Patience: "2s"},
 		TargetProtocol: ProtocolDocument{
@@ -136,8 +156,9 @@
 		OperatorToken: doc.Tokens.Operators, PeerToken: doc.Tokens.Peers,
 		StopGrace: parser.Duration("stop.grace", doc.Stop.Grace, 0), StopTimeout: parser.Duration("stop.limit", doc.Stop.Limit, 0),
 		MaxHeldCalls: doc.Calls.MaxHeld, CallerHeader: doc.Calls.CallerHeader, ReplayBufferBytes: int64(doc.Calls.ReplayBufferBytes),
-		IdleTimeout:   parser.Duration("calls.idle-timeout", doc.Calls.IdleTimeout, 0),
-		HeaderTimeout: parser.Duration("calls.header-timeout", doc.Calls.HeaderTimeout, 0),
+		IdleTimeout:    parser.Duration("calls.idle-timeout", doc.Calls.IdleTimeout, 0),
+		HeaderTimeout:  parser.Duration("calls.header-timeout", doc.Calls.HeaderTimeout, 0),
+		MaxHeaderBytes: int64(doc.Calls.MaxHeaderBytes), MemoryMB: cmp.Or(doc.Node.MemoryMB, defaultMemoryMB),
 		Measuring: measuring.Settings{
 			MessagesPerSecond: doc.Measuring.MessagesPerSecond, RefusalsPerSecond: doc.Measuring.RefusalsPerSecond, BytesPerSecond: unit.Bytes(doc.Measuring.BytesPerSecond),
 			TargetTimePerSecond: parser.Duration("measuring.target-time-per-second", doc.Measuring.TargetTimePerSecond, 0),
@@ -231,6 +252,8 @@
 	parser.CheckInt("calls.replay-buffer-bytes", int(s.ReplayBufferBytes), 1, 64<<20)
 	parser.CheckDuration("calls.idle-timeout", s.IdleTimeout, time.Second, time.Hour)
 	parser.CheckDuration("calls.header-timeout", s.HeaderTimeout, 100*time.Millisecond, time.Hour)
+	parser.CheckInt("calls.max-header-bytes", int(s.MaxHeaderBytes), 1<<10, 64<<20)
+	parser.CheckInt("node.memory-mb", s.MemoryMB, 64, 1<<20)
 	parser.CheckDuration("claims.patience", s.ClaimTimeout, 10*time.Millisecond, time.Minute)
 	requirePositive(parser, "measuring.messages-per-second", s.Measuring.MessagesPerSecond)
 	requirePositive(parser, "measuring.bytes-per-second", float64(s.Measuring.BytesPerSecond))
