listener: let a head that begins late on an idle connection be finished

A client that sent a request on a connection that had been idle for nearly idleTimeoutMs, in more than one piece, could have its connection closed without an answer although it was within all limits.

Cause: the state of a connection is idle until the whole head is parsed, and only bytes that the process had not read kept it open; a part that had been read did not.

Change: while a head is received, its own time limit ends it, and the idle timeout does not. In a planned stop a part keeps its connection open for a second, as a connection without any request.

Evidence: TestHeadOnIdleConnectionIsNotCutOff fails with the rule of the stop in place of the new one, and passes now.

--- a/listener/conns.go
+++ b/listener/conns.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -43,28 +44,37 @@
 	if timeout <= 0 {
 		return 0
 	}
-	return c.closeWhere(func(s connState) bool {
+	return c.closeWhere(wholeHeadAge, func(s connState) bool {
 		return s.state != http.StateActive && now.Sub(s.since) > timeout+idleCloseMargin
 	})
 }
 
 // closeAllIdle closes the connections that wait for a next request.
 func (c *conns) closeAllIdle() {
-	c.closeWhere(func(s connState) bool { return s.state == http.StateIdle })
+	c.closeWhere(drainedHeadAge, func(s connState) bool { return s.state == http.StateIdle })
 }
 
 // closeUnused closes the connections on which no request has begun for the given time.
 func (c *conns) closeUnused(now time.Time, age time.Duration) {
-	c.closeWhere(func(s connState) bool { return s.state == http.StateNew && now.Sub(s.since) > age })
+	c.closeWhere(drainedHeadAge, func(s connState) bool { return s.state == http.StateNew && now.Sub(s.since) > age })
 }
 
+const (
+	// wholeHeadAge lets a head that has begun take the time that it may: another limit ends it.
+	wholeHeadAge = math.MaxInt64
+	// drainedHeadAge is how long a part of a head keeps a connection open while the server
+	// drains.
+	drainedHeadAge = time.Second
+)
+
 // closeWhere closes the connections for which matches returns true. One on which a request
-// waits to be read stays open: the process may not have had the time to read it.
-func (c *conns) closeWhere(matches func(s connState) bool) (closed int) {
+// waits to be read stays open, since the process may not have had the time to read it, and so does
+// one whose head began at most headAge ago.
+func (c *conns) closeWhere(headAge time.Duration, matches func(s connState) bool) (closed int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, s := range c.states {
-		if matches(s) && !isReceiving(conn) {
+		if matches(s) && !isReceiving(conn, headAge) {
 			conn.Close()
 			delete(c.states, conn)
 			closed++
@@ -73,13 +83,10 @@
 	return closed
 }
 
-// partAge is how long the part of a head that was received keeps a connection open.
-const partAge = time.Second
-
-// isReceiving reports whether a request waits to be read, or was received in part a short while
-// ago.
-func isReceiving(nc net.Conn) bool {
-	if c, ok := nc.(*conn); ok && c.holdsPart(time.Now(), partAge) {
+// isReceiving reports whether a request waits to be read, or was received in part and began at most
+// headAge ago.
+func isReceiving(nc net.Conn, headAge time.Duration) bool {
+	if c, ok := nc.(*conn); ok && c.holdsPart(time.Now(), headAge) {
 		return true
 	}
 	return hasUnread(nc)
--- a/listener/intake_test.go
+++ b/listener/intake_test.go
@@ -220,6 +220,26 @@
 	}
 }
 
+// A head that begins when its connection has nearly been idle for as long as it may was cut off at
+// that time.
+func TestHeadOnIdleConnectionIsNotCutOff(t *testing.T) {
+	s := startLimited(t, Intake{})
+	conn := dial(t, s)
+	r := bufio.NewReader(conn)
+	const head = "GET / HTTP/1.1\r\nHost: h\r\n"
+	io.WriteString(conn, head+"\r\n")
+	if status, body := readResponse(r); status != http.StatusOK {
+		t.Fatalf("first request: got %d %q, want 200", status, body)
+	}
+	io.WriteString(conn, head)
+	time.Sleep(drainedHeadAge + 100*time.Millisecond)
+	s.CloseIdle(time.Now().Add(time.Hour), time.Second)
+	io.WriteString(conn, "\r\n")
+	if status, body := readResponse(r); status != http.StatusOK {
+		t.Errorf("second request: got %d %q, want 200", status, body)
+	}
+}
+
 // The handler of a request must learn that its caller has left, also behind a body.
 func TestHandlerEndsWhenCallerLeaves(t *testing.T) {
 	for _, request := range []string{"GET /wait HTTP/1.1\r\nHost: h\r\n\r\n", "POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab", "POST /wait HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"} {
