listener, event: log each refusal before a head is parsed

An on-call engineer could see in intake_refusals that a node refused requests, but not whose: such a request has no ID yet.

--- a/event/event.go
+++ b/event/event.go
@@ -110,6 +110,7 @@
 	ForwardFailed = register(709, "forward-failed", zap.InfoLevel, "The node in the field via did not take a call or was lost; the field result states how, reason why it refused the call, and written whether the call may have reached it.")
 	CallRelayed   = register(711, "call-relayed", zap.InfoLevel, "This node took a call that another node (field from) sent because it has no path to the targets.")
 	RelayRefused  = register(712, "relay-refused", zap.WarnLevel, "This node did not take a call of another node (field from); the field reason states why: unknown-sender, other-node, too-many-calls, not-ready, or a reason for which a call is not run that lies with this node, such as path-lost or no-service. The call did not start here.")
+	IntakeRefused = register(713, "intake-refused", zap.WarnLevel, "A request from the address in the field from was refused at the port in the field port before its head was parsed, or its connection was closed; the field reason states why: head-too-long, head-too-slow, no-memory or no-connection. Nothing has run.")
 	CallDone      = register(700, "call-done", zap.InfoLevel, "A target responded to a call, and its whole response was forwarded.")
 	CallNotRun    = register(701, "call-not-run", zap.InfoLevel, "A call was refused and did not run; the field reason states why.")
 	CallUnknown   = register(702, "call-unknown", zap.WarnLevel, "A call may have run, but has no response; the field reason states why.")
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -149,7 +149,7 @@
 	n.upstreams = newUpstreams(n)
 	n.quarantine = &quarantine.Guard{Node: quarantineNode{n}}
 	n.gatewayMetrics = metrics.NewGateway(d.Metrics.Scope)
-	n.ports = listener.NewPorts(shares, func() intake.Limits { return n.upstreams.active.Load().plan.IntakeLimits() }, n.gatewayMetrics.CountIntakeRefusal)
+	n.ports = listener.NewPorts(shares, func() intake.Limits { return n.upstreams.active.Load().plan.IntakeLimits() }, n.logger, n.gatewayMetrics.CountIntakeRefusal)
 	n.callMetrics = metrics.NewCalls(d.Metrics.Scope)
 	n.handler = &entry.Handler{
 		Directory:     n.upstreams,
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -156,7 +156,7 @@
 	c.part = behindRequest
 	c.mu.Unlock()
 	if c.hold != nil && !c.hold.Parse(c.chunks.TrailerCost(), c.server.intake.limits().HeadTime) {
-		c.server.intake.reportRefusal(intake.NoMemory)
+		c.server.reportRefusal(c, intake.NoMemory)
 		return 0, errRefused
 	}
 	return n, err
--- a/listener/conns.go
+++ b/listener/conns.go
@@ -94,8 +94,9 @@
 
 // closeLeastNeeded closes one connection on which no request is being served: of those without
 // any request so far the oldest, or else of those that are idle for longer than timeout, or else
-// the one that has been sending its head for longest. It reports false if there is none.
-func (c *conns) closeLeastNeeded(now time.Time, timeout time.Duration) bool {
+// the one that has been sending its head for longest. It returns the connection, or nil if there is
+// none.
+func (c *conns) closeLeastNeeded(now time.Time, timeout time.Duration) net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var unused, idle, receiving net.Conn
@@ -121,10 +122,10 @@
 		if nc != nil && (nc == receiving || !hasUnread(nc)) {
 			nc.Close()
 			delete(c.states, nc)
-			return true
+			return nc
 		}
 	}
-	return false
+	return nil
 }
 
 // older returns the older one of two connections; the first may be nil.
--- a/listener/head.go
+++ b/listener/head.go
@@ -214,7 +214,7 @@
 	if c.hold != nil {
 		c.hold.Release()
 	}
-	c.server.intake.reportRefusal(reason)
+	c.server.reportRefusal(c, reason)
 	// Errors end the connection, which is closed in any case.
 	_ = c.TCPConn.SetWriteDeadline(time.Now().Add(lingerTime))
 	status := reason.Status()
--- a/listener/intake.go
+++ b/listener/intake.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/apricotmount/apricotmount/event"
 	"github.com/apricotmount/apricotmount/intake"
 )
 
@@ -18,6 +21,8 @@
 	Budget *intake.Budget
 	// MaxConnections is the maximum number of open connections; zero means no limit.
 	MaxConnections int
+	// Logger, if set, gets a line for each refusal.
+	Logger *zap.Logger
 	// OnRefusal, if set, is called for each request that is refused and each connection that
 	// is closed for a limit.
 	OnRefusal func(intake.Refusal)
@@ -31,10 +36,11 @@
 	return in.Limits().WithDefaults()
 }
 
-// reportRefusal calls OnRefusal.
-func (in *Intake) reportRefusal(reason intake.Refusal) {
-	if in.OnRefusal != nil {
-		in.OnRefusal(reason)
+// reportRefusal logs a refusal to the client of a connection, and calls OnRefusal.
+func (s *Server) reportRefusal(nc net.Conn, reason intake.Refusal) {
+	event.IntakeRefused.Log(s.intake.Logger, zap.Stringer("from", nc.RemoteAddr()), zap.Stringer("port", s.Addr()), zap.String("reason", string(reason)))
+	if s.intake.OnRefusal != nil {
+		s.intake.OnRefusal(reason)
 	}
 }
 
@@ -79,7 +85,7 @@
 			return newConn(l.server, nc), nil
 		}
 		nc.Close()
-		l.server.intake.reportRefusal(intake.NoConnection)
+		l.server.reportRefusal(nc, intake.NoConnection)
 	}
 }
 
@@ -90,9 +96,10 @@
 	if limit <= 0 || s.conns.count() < limit {
 		return true
 	}
-	if !s.conns.closeLeastNeeded(time.Now(), s.intake.limits().IdleTime) {
+	closed := s.conns.closeLeastNeeded(time.Now(), s.intake.limits().IdleTime)
+	if closed == nil {
 		return false
 	}
-	s.intake.reportRefusal(intake.NoConnection)
+	s.reportRefusal(closed, intake.NoConnection)
 	return true
 }
--- a/listener/ports.go
+++ b/listener/ports.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/apricotmount/apricotmount/intake"
 )
 
@@ -11,17 +13,18 @@
 	shares    intake.Shares
 	budget    *intake.Budget
 	callers   func() intake.Limits
+	logger    *zap.Logger
 	onRefusal func(intake.Refusal)
 }
 
-// NewPorts returns the ports of a node. callers returns the limits of its callers at present;
-// onRefusal, if set, is called as Intake.OnRefusal. Without a number of descriptors in shares, that
+// NewPorts returns the ports of a node. callers returns the limits of its callers at present; logger
+// and onRefusal, if set, are those of each Intake. Without a number of descriptors in shares, that
 // of the system applies.
-func NewPorts(shares intake.Shares, callers func() intake.Limits, onRefusal func(intake.Refusal)) *Ports {
+func NewPorts(shares intake.Shares, callers func() intake.Limits, logger *zap.Logger, onRefusal func(intake.Refusal)) *Ports {
 	if shares.Descriptors == 0 {
 		shares.Descriptors = descriptorLimit()
 	}
-	return &Ports{shares: shares, budget: intake.NewBudget(shares.HeadBudget()), callers: callers, onRefusal: onRefusal}
+	return &Ports{shares: shares, budget: intake.NewBudget(shares.HeadBudget()), callers: callers, logger: logger, onRefusal: onRefusal}
 }
 
 // innerLimits bound the heads of requests to the ports that callers do not use.
@@ -43,5 +46,5 @@
 }
 
 func (p *Ports) intake(limits func() intake.Limits, maxConnections int) Intake {
-	return Intake{Limits: limits, Budget: p.budget, MaxConnections: maxConnections, OnRefusal: p.onRefusal}
+	return Intake{Limits: limits, Budget: p.budget, MaxConnections: maxConnections, Logger: p.logger, OnRefusal: p.onRefusal}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -170,7 +170,7 @@
 // listen opens the caller, operator, peer and health ports and serves them.
 func (n *Node) listen() (err error) {
 	s := n.settings
-	ports := listener.NewPorts(s.Shares(), s.IntakeLimits, nil)
+	ports := listener.NewPorts(s.Shares(), s.IntakeLimits, n.logger, nil)
 	callers := &http.Server{Handler: n.callerHandler, IdleTimeout: s.IdleTimeout, ErrorLog: discardLog}
 	if n.callerServer, err = listener.ServeLimited(s.CallerAddress, callers, ports.Callers()); err != nil {
 		return err
