intake: refuse a head that takes more memory than all heads may

One complete head of very many lines, within a generous limit of the operator (or the default of 1 MB), could take more memory than the budget for all heads, and so end the process of a small machine.

Cause: a head that cost more than the whole budget was charged the whole budget and served alone, whatever it cost.

Change: such a head is refused with 431 as soon as its cost is known. On machines of 75 MB or more no head within 16 KB can cost so much, with the shortest lines there are.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// FreeBytes is the memory that each connection may take for a head beside the budget: as received,
-// and parsed. The heads of most requests fit. It is part of ConnectionBytes.
+// FreeBytes is the memory that each connection may take for a head beside the budget, either as
+// received or parsed. The heads of most requests fit. It is part of ConnectionBytes.
 const FreeBytes = 8 << 10
 
 // Budget bounds the memory that the heads of all connections take beyond FreeBytes each. It is
@@ -107,13 +107,6 @@
 	return nil
 }
 
-// IsEvicted reports whether the head has to give way.
-func (h *Hold) IsEvicted() bool {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	return h.isEvicted
-}
-
 // waiter is a complete head that waits.
 type waiter struct {
 	hold    *Hold
@@ -121,8 +114,12 @@
 	granted chan struct{}
 }
 
+// CanHold reports whether a head that costs so many bytes may be parsed at all.
+func (b *Budget) CanHold(cost int64) bool { return cost <= max(b.parsed, FreeBytes) }
+
 // Parse waits until the complete head may be parsed, which takes cost bytes. The heads that take
-// the least go first. It reports false if there is no room within the timeout.
+// the least go first. It reports false if there is no room within the timeout, which is always so if
+// CanHold is false.
 func (h *Hold) Parse(cost int64, timeout time.Duration) bool {
 	if cost <= FreeBytes {
 		return true
@@ -135,7 +132,7 @@
 		return false
 	}
 	h.isComplete = true
-	w := &waiter{hold: h, cost: min(cost, b.parsed), granted: make(chan struct{})}
+	w := &waiter{hold: h, cost: cost, granted: make(chan struct{})}
 	b.waiting = append(b.waiting, w)
 	b.grant()
 	b.mu.Unlock()
--- a/intake/head_test.go
+++ b/intake/head_test.go
@@ -12,7 +12,7 @@
 	"testing"
 )
 
-// readAll splits a text at random and returns the number of bytes that belong to the head.
+// scanInParts scans a text in parts of random lengths. It returns the number of bytes that belong to the head.
 func scanInParts(text string, r *rand.Rand, scan func(p []byte) (int, bool)) (n int, isComplete bool) {
 	for n < len(text) && !isComplete {
 		end := min(len(text), n+1+r.IntN(8))
--- a/listener/head.go
+++ b/listener/head.go
@@ -180,8 +180,12 @@
 	}
 }
 
-// isTooLong reports whether the head is longer than the limit at its start, and than that at present.
+// isTooLong reports whether the head is longer than the limit at its start, and than that at present,
+// or takes more memory than all heads together may.
 func (c *conn) isTooLong() bool {
+	if c.hold != nil && !c.server.intake.Budget.CanHold(c.head.Cost()) {
+		return true
+	}
 	return c.head.Exceeds(c.headLimits.Max(c.server.intake.limits()).HeadBytes)
 }
 
