listener: keep no more connections than leave room for others

Clients that sent one request each and then kept their connections left no connection, or no descriptor, for ordinary callers.

Cause: connections that are idle within the operator's idleTimeoutMs do not give way, since their clients may use them again, and each response kept its connection however many there were.

Change: while a port has over three quarters of its connections, responses say that they close theirs, which clients respect. At the ports for checks, connections that are idle for five seconds give way.

TestConnectionsGiveWayInOrder opens its idle connection first now, and checks more connections at each step.

--- a/listener/conn.go
+++ b/listener/conn.go
@@ -162,8 +162,8 @@
 	return n, err
 }
 
-// readAhead reads one byte of the next head: the server learns in this way that the client has
-// left, and takes no more before it has answered.
+// readAhead reads one byte of the next head: in this way the server detects that the client has
+// left, and it takes no more before it has responded.
 func (c *conn) readAhead(p []byte) (n int, err error) {
 	n, err = c.receive(p[:1])
 	c.mu.Lock()
@@ -185,12 +185,12 @@
 }
 
 // expectBody makes the next bytes the body of the request that is served.
-func (c *conn) expectBody(length int64, inChunksOf bool) {
+func (c *conn) expectBody(length int64, isChunked bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.part != behindRequest:
-	case inChunksOf:
+	case isChunked:
 		c.part, c.chunks = inChunks, intake.Chunks{}
 	case length > 0:
 		c.part, c.bodyBytes = inBody, length
--- a/listener/intake.go
+++ b/listener/intake.go
@@ -89,6 +89,16 @@
 	}
 }
 
+// keptShare is the part of a port's connections up to which they are kept after a response. Beyond it
+// no more of them become idle, since those that are idle do not give way.
+const keptShare = 0.75
+
+// isNearlyFull reports whether connections close after their next response.
+func (s *Server) isNearlyFull() bool {
+	limit := s.intake.MaxConnections
+	return limit > 0 && s.conns.count() > int(keptShare*float64(limit))
+}
+
 // makeRoom reports whether there is room for one more connection. If there is none, the
 // connection that gives way first is closed.
 func (s *Server) makeRoom() bool {
--- a/listener/intake_test.go
+++ b/listener/intake_test.go
@@ -188,6 +188,17 @@
 	}
 }
 
+// Connections that are kept idle must not take all that a port may have.
+func TestIdleConnectionsLeaveRoom(t *testing.T) {
+	s := startLimited(t, Intake{MaxConnections: 8, Limits: limits(intake.Limits{IdleTime: time.Hour})})
+	for i := range 20 {
+		conn := dial(t, s)
+		if status, err := request(conn, "/"); err != nil || status != http.StatusOK {
+			t.Fatalf("connection %d: got %d %v, want 200", i, status, err)
+		}
+	}
+}
+
 // A connection whose request is served for longer than connections may be idle does not give way.
 func TestServedRequestDoesNotGiveWay(t *testing.T) {
 	s := startLimited(t, Intake{MaxConnections: 1, Limits: limits(intake.Limits{IdleTime: time.Millisecond})})
@@ -259,7 +270,7 @@
 // When a port has all its connections, those without a request give way, and then unfinished
 // heads; a request that is being served does not.
 func TestConnectionsGiveWayInOrder(t *testing.T) {
-	const limit = 3
+	const limit = 4
 	s := startLimited(t, Intake{MaxConnections: limit, Limits: limits(intake.Limits{IdleTime: time.Hour})})
 	open := func(text string) net.Conn {
 		conn := dial(t, s)
@@ -270,20 +281,23 @@
 	isClosed := func(conn net.Conn) bool {
 		conn.SetReadDeadline(time.Now().Add(30 * time.Millisecond))
 		_, err := conn.Read(make([]byte, 1))
-		netErr, ok := err.(net.Error)
-		return err != nil && !(ok && netErr.Timeout())
+		return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	const waiting = "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+	idle := open("")
+	if status, err := request(idle, "/"); err != nil || status != http.StatusOK {
+		t.Fatalf("first connection: got %d %v, want 200", status, err)
 	}
-	const ordinary = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
-	serving, unfinished, unused := open("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"), open("GET / HTTP/1.1\r\n"), open("")
-	idle := open(ordinary)
-	if status, _ := readResponse(bufio.NewReader(idle)); status != http.StatusOK || !isClosed(unused) {
-		t.Errorf("fourth connection: got status %d, want 200 in place of the unused connection", status)
+	serving, unfinished, unused := open(waiting), open("GET / HTTP/1.1\r\n"), open("")
+	fifth := open(waiting)
+	if !isClosed(unused) || isClosed(unfinished) || isClosed(idle) || isClosed(serving) {
+		t.Error("fifth connection: want it in place of the unused one only")
 	}
-	open("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
-	if !isClosed(unfinished) || isClosed(idle) || isClosed(serving) {
-		t.Error("fifth connection: want it in place of the unfinished head")
+	sixth := open(waiting)
+	if !isClosed(unfinished) || isClosed(idle) || isClosed(serving) || isClosed(fifth) {
+		t.Error("sixth connection: want it in place of the unfinished head only")
 	}
-	if last := open(ordinary); !isClosed(last) || isClosed(idle) || isClosed(serving) {
-		t.Error("sixth connection: want it closed, as others may be in use")
+	if last := open(waiting); !isClosed(last) || isClosed(idle) || isClosed(serving) || isClosed(fifth) || isClosed(sixth) {
+		t.Error("seventh connection: want it closed, as the others may be in use")
 	}
 }
--- a/listener/ports.go
+++ b/listener/ports.go
@@ -28,7 +28,7 @@
 }
 
 // innerLimits bound the heads of requests to the ports that callers do not use.
-var innerLimits = intake.Limits{HeadBytes: 64 << 10, HeadTime: 5 * time.Second, IdleTime: time.Hour}
+var innerLimits = intake.Limits{HeadBytes: 64 << 10, HeadTime: 5 * time.Second, IdleTime: 5 * time.Second}
 
 // Callers returns the bounds of the port for callers.
 func (p *Ports) Callers() Intake { return p.intake(p.callers, p.shares.CallerConnections()) }
--- a/listener/server.go
+++ b/listener/server.go
@@ -108,12 +108,12 @@
 }
 
 // announceClose returns a handler whose responses close their connections while the server
-// drains. http.Server.SetKeepAlivesEnabled would also close connections on which a request
+// drains or has nearly all its connections. http.Server.SetKeepAlivesEnabled would also close connections on which a request
 // waits to be read.
 func (s *Server) announceClose(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		expectBody(r)
-		if s.isDraining.Load() {
+		if s.isDraining.Load() || s.isNearlyFull() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- a/proof/abuse/abuse_test.go
+++ b/proof/abuse/abuse_test.go
@@ -131,6 +131,13 @@
 	n.checkAlive(fewFDs)
 }
 
+// Connections that are kept idle after a request left no descriptors either.
+func TestIdleConnections(t *testing.T) {
+	n := startNode(t, fewFDs)
+	open(t, n.callers, silentSize, func(i int) client { return client{start: requestStart("/quick/x", i) + "\r\n"} }).hold()
+	n.checkAlive(fewFDs)
+}
+
 // A crowd that comes back must not add to what the one before has left.
 func TestCrowdComesBack(t *testing.T) {
 	n := startNode(t, maxFDs)
