wire, reply, replyconn: take no reset for the end of a response

Callers saw the part of a response as whole: a target answered a long upload at once with a 200 without a length, sent 3,000 bytes and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. If the write of the upload gets it, the read that follows returns the end of the stream as if the target had ended it in order, and a body without a length is complete there.

The connection now passes on the end of a stream only with a proof: no write has failed and none is in progress, so a reset could only have been reported to the read; or the kernel's state is CLOSE_WAIT, which only the target's FIN leads to. Where the state cannot be read, such an end counts as a reset.

--- a/wire/conn.go
+++ b/wire/conn.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/apricotmount/apricotmount/replyconn"
 	"github.com/apricotmount/apricotmount/target"
 )
 
@@ -28,7 +29,7 @@
 // the time of the last read that returned data, and fails when data arrives that belongs
 // to no response.
 type trackedConn struct {
-	net.Conn
+	*replyconn.Conn
 	exchange     exchange
 	response     responseHead
 	writtenBytes atomic.Int64
@@ -90,7 +91,7 @@
 // another connection.
 func newConn(p *Pool, nc net.Conn) *Conn {
 	c := &Conn{pool: p}
-	c.netConn = &trackedConn{Conn: nc, onReadError: c.handleReadError}
+	c.netConn = &trackedConn{Conn: replyconn.New(nc), onReadError: c.handleReadError}
 	c.netConn.response.maxLines = p.settings.MaxResponseLines
 	var dialled atomic.Bool
 	c.transport = &http.Transport{
