reply, wire: decide what becomes of bytes behind a response

A response is whole by its own framing: it is forwarded, the bytes behind it are left out, and the connection carries no further request. Before, net/http's transport held the bytes in its buffer, closed the connection over them and wrote a line to standard error; whether that came before the next request was a matter of order.

What remains to chance is time: bytes that arrive after the next request has been written are taken for its response, which is then broken, never another's.

--- a/entry/brokenanswer_test.go
+++ b/entry/brokenanswer_test.go
@@ -119,3 +119,37 @@
 		}
 	}
 }
+
+// Guards against bytes behind a whole response that decide by chance what becomes of it, or that are taken
+// for the next response: the response is forwarded, and its connection is not used again.
+func TestBytesBehindResponseEndConnection(t *testing.T) {
+	const calls = 100
+	whole := "HTTP/1.1 200 OK\r\n" + ownFields
+	for _, tt := range []struct{ name, response string }{
+		{"with a length", whole + "Content-Length: 5\r\n\r\nother"},
+		{"in chunks", whole + "Transfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n"},
+	} {
+		for _, behind := range []string{"x", strings.Repeat("x", 8<<10), "HTTP/1.1 503 Full\r\n" + ownFields + "Target-Refused: before-start\r\nContent-Length: 0\r\n\r\n"} {
+			for _, count := range []int{0, -1} {
+				address := replytest.Start(t, func(r *http.Request) replytest.Answer {
+					if r.URL.Path == wire.DefaultProtocol.LoadPath {
+						return replytest.Answer{Text: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + loadHeaders + "\r\n"}
+					}
+					return replytest.Answer{Text: tt.response + behind, Piece: behind, Count: count}
+				})
+				h := newHarness(t, nonIdempotent(), address)
+				h.handler.Settings = Settings{Protocol: verifyingProtocol(), ResponseBufferBytes: 1 << 20, OmitProductHeaders: true}
+				wrong := 0
+				for range calls {
+					resp, body, err := h.do(t, http.MethodPost, "x", "X-Id", "7")
+					if err != nil || resp.StatusCode != http.StatusOK || body != "other" {
+						wrong++
+					}
+				}
+				if wrong > 0 {
+					t.Errorf("%s, %d bytes behind it, %d times more: got %d of %d calls without their response, want 0", tt.name, len(behind), count, wrong, calls)
+				}
+			}
+		}
+	}
+}
--- a/reply/scanner.go
+++ b/reply/scanner.go
@@ -15,6 +15,7 @@
 	Framing      Broken = "the response does not state one length of its body"
 	Chunk        Broken = "the response has a malformed chunk"
 	TooManyLines Broken = "the response has too many field lines"
+	Unsolicited  Broken = "bytes were received that belong to no response"
 	UnprovedEnd  Broken = "the connection ended, and may have been reset"
 )
 
@@ -68,20 +69,30 @@
 
 // Begin expects the response to a request with the method.
 func (s *Scanner) Begin(method string) {
-	s.part, s.isBodyless, s.afterCR, s.err = statusLine, method == "HEAD", false, nil
+	s.part, s.isBodyless, s.afterCR = statusLine, method == "HEAD", false
 	s.beginHead()
 }
 
 // IsExpecting reports whether a response is expected or has not ended.
 func (s *Scanner) IsExpecting() bool { return s.part != noResponse }
 
-// Scan takes the next bytes. It returns how many of them belong to a response that is expected. After
-// an error the response is broken, and the connection must not be used again.
+// Err returns why the connection must not be used for another request: the response is broken, or bytes
+// follow that belong to none.
+func (s *Scanner) Err() error { return s.err }
+
+// Scan takes the next bytes. It returns how many of them belong to a response that is expected. A
+// response is whole though bytes follow: these make the next call return an error.
 func (s *Scanner) Scan(p []byte) (n int, err error) {
+	if s.err != nil {
+		return 0, s.err
+	}
 	for n < len(p) && s.err == nil {
 		switch s.part {
 		case noResponse:
-			return n, nil
+			s.err = Unsolicited
+			if n > 0 {
+				return n, nil
+			}
 		case bodyToClose, otherProtocol:
 			return len(p), nil
 		case bodyWithLength, chunkData:
--- a/reply/scanner_test.go
+++ b/reply/scanner_test.go
@@ -204,3 +204,24 @@
 		}
 	}
 }
+
+// Guards against bytes behind a response that are taken for the next one, or that break the response
+// itself.
+func TestBytesBehindResponseEndUse(t *testing.T) {
+	for _, tt := range replytest.Sound {
+		whole := tt.Text("")
+		if tt.Behind == "" {
+			continue
+		}
+		var s reply.Scanner
+		s.Begin("GET")
+		n, err := s.Scan([]byte(whole + tt.Behind))
+		if n != len(whole) || err != nil {
+			t.Errorf("%s: got %d bytes (%v), want the %d of the response", tt.Name, n, err, len(whole))
+		}
+		s.Begin("GET")
+		if n, err := s.Scan([]byte(whole)); n != 0 || !errors.Is(err, reply.Unsolicited) {
+			t.Errorf("%s: next response: got %d bytes (%v), want %v", tt.Name, n, err, reply.Unsolicited)
+		}
+	}
+}
--- a/replyconn/conn.go
+++ b/replyconn/conn.go
@@ -44,25 +44,39 @@
 	return n, err
 }
 
+// Err returns why the connection must not be used for another request, or nil.
+func (c *Conn) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scanner.Err()
+}
+
 // Read reads from the connection. It returns a reply.Broken for bytes that are no response, and in place
-// of io.EOF unless the server has ended the stream in order.
+// of io.EOF unless the server has ended the stream in order. Bytes behind a response are left out, and
+// make Err return an error.
 func (c *Conn) Read(b []byte) (n int, err error) {
-	n, err = c.Conn.Read(b)
-	if err := c.scan(b[:n]); err != nil {
+	if err := c.Err(); err != nil {
 		return 0, err
 	}
+	received, err := c.Conn.Read(b)
+	n, brokenErr := c.scan(b[:received])
+	if brokenErr != nil {
+		return 0, brokenErr
+	}
+	if n < received {
+		return n, nil
+	}
 	if err == io.EOF && !c.end().IsProved() {
 		err = reply.UnprovedEnd
 	}
 	return n, err
 }
 
-// scan scans the bytes that were read.
-func (c *Conn) scan(b []byte) error {
+// scan scans the bytes that were read, and returns how many belong to a response.
+func (c *Conn) scan(b []byte) (n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, err := c.scanner.Scan(b)
-	return err
+	return c.scanner.Scan(b)
 }
 
 // end returns what is known of the connection at the end of its stream.
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -52,7 +52,7 @@
 func (t *trackedConn) Read(b []byte) (n int, err error) {
 	t.exchange.beginRead()
 	n, err = t.Conn.Read(b)
-	if err := t.exchange.endRead(n); err != nil {
+	if err := t.exchange.endRead(n > 0 || isBroken(err)); err != nil {
 		return 0, err
 	}
 	if n > 0 {
@@ -150,7 +150,13 @@
 // Release returns the connection to its pool after the response body was read to
 // its end, or closes it if it is not reusable.
 func (c *Conn) Release(reusable bool) {
-	c.pool.put(c, reusable && !c.isClosed.Load())
+	c.pool.put(c, reusable)
+}
+
+// isReusable reports whether the connection may carry another request: it is open, and no bytes have
+// arrived that belong to no response.
+func (c *Conn) isReusable() bool {
+	return !c.isClosed.Load() && c.netConn.Conn.Err() == nil
 }
 
 // handleReadError removes the connection from its pool. It is called once, at the
--- a/wire/exchange.go
+++ b/wire/exchange.go
@@ -49,12 +49,12 @@
 	e.set(func() { e.isReading = true })
 }
 
-// endRead records that a read returned n bytes, and returns an error if they belong to no
-// response.
-func (e *exchange) endRead(n int) (err error) {
+// endRead records that a read has returned, and whether it received data. It returns an error if the
+// data belongs to no response.
+func (e *exchange) endRead(hasData bool) (err error) {
 	e.set(func() {
 		e.isReading = false
-		if n > 0 && !e.isOpen {
+		if hasData && !e.isOpen {
 			e.hasEnded = true
 			err = errUnsolicited
 		}
--- a/wire/exchange_test.go
+++ b/wire/exchange_test.go
@@ -32,7 +32,7 @@
 			var e exchange
 			tt.before(&e)
 			e.beginRead()
-			if err := e.endRead(1); (err != nil) != tt.wantFail {
+			if err := e.endRead(true); (err != nil) != tt.wantFail {
 				t.Errorf("data: got %v, want an error: %v", err, tt.wantFail)
 			}
 			if err := e.beginWrite(); (err != nil) != tt.wantFail {
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -249,7 +249,7 @@
 func (p *Pool) put(c *Conn, reusable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if reusable && !p.isClosed && !c.isClosed.Load() && len(p.all) <= p.limit {
+	if reusable && !p.isClosed && c.isReusable() && len(p.all) <= p.limit {
 		c.netConn.exchange.finish()
 		c.idleSince = time.Now()
 		p.idle = append(p.idle, c)
