replyconn, stream: bound the memory of the bodies that a process reads

What users would have seen: a node with the settings of the project whose log or list of VMs sends bytes without end runs out of memory, and the calls on it end with it.

Cause: the log's client took up to 64 MB a response, each of a node's readers at the same time, and decoded or grew that with several times as much.

A batch of the log has at most 8 MB (one publication of 4 MB takes 5.6); where more records than that are due, the client asks for fewer.

--- a/operator/client.go
+++ b/operator/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 
@@ -123,7 +122,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxDocumentBytes))
+	b, err := replyconn.ReadBody(ctx, resp.Body, maxDocumentBytes)
 	if err != nil {
 		return err
 	}
--- a/proof/abuse/answers_test.go
+++ b/proof/abuse/answers_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"path"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/apricotmount/apricotmount/platform"
 	"github.com/apricotmount/apricotmount/reply/replytest"
@@ -20,7 +22,7 @@
 // oddAnswer returns one of the answers that have no end, or a late one. Its header lines are those of an
 // answer to the request with the ID.
 func oddAnswer(name, id string) replytest.Answer {
-	filler := strings.Repeat("x", 32<<10)
+	filler := replytest.Filler
 	head := "HTTP/1.1 200 OK\r\n" + platform.RequestIDHeader + ": " + id + "\r\nX-Apricotmount-Response-Stamp: stamp\r\n"
 	chunked := head + "Transfer-Encoding: chunked\r\n"
 	switch name {
@@ -82,6 +84,24 @@
 	}
 }
 
+// failingServer is a server that answers without end while it fails.
+type failingServer struct {
+	http.Handler
+	fails *atomic.Bool
+}
+
+// ServeHTTP answers a request. An answer without end begins as one of the platform's does.
+func (s failingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.fails.Load() {
+		s.Handler.ServeHTTP(w, r)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	for _, err := io.WriteString(w, `{"records": [{"payload": "`); err == nil; {
+		_, err = io.WriteString(w, replytest.Filler)
+	}
+}
+
 // oddCall is a call that gets one of the odd answers.
 func oddCall(name string) func(i int) client {
 	return func(i int) client { return client{start: requestStart("/odd/"+name, i) + "\r\n"} }
@@ -112,3 +132,11 @@
 		checkCrowd(t, largeCrowdSize, oddCall(name))
 	}
 }
+
+// Bytes without end from the store must not fill the memory either.
+func TestStoreAnswersWithoutEnd(t *testing.T) {
+	n := startNode(t, maxFDs)
+	n.storeFails.Store(true)
+	time.Sleep(3 * holdTime)
+	n.checkAlive(maxFDs)
+}
--- a/proof/abuse/node_test.go
+++ b/proof/abuse/node_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -85,10 +86,12 @@
 // node is a node that runs as a process, with a store and three services: requests to /slow/ take a
 // second, those to /quick/ a millisecond, and the answers to those to /odd/ are those of answers_test.go.
 type node struct {
-	t       *testing.T
-	store   *platformtest.Store
-	process *exec.Cmd
-	log     bytes.Buffer
+	t     *testing.T
+	store *platformtest.Store
+	// storeFails makes the store answer without end.
+	storeFails atomic.Bool
+	process    *exec.Cmd
+	log        bytes.Buffer
 	// logFile, if set, gets the standard output.
 	logFile io.Writer
 	ended   chan error
@@ -147,7 +150,7 @@
 	address := func(i int) string { return fmt.Sprint("127.0.0.1:", ports[i]) }
 	n.callers, n.readiness, n.peers, n.metrics = address(0), address(1), address(2), address(3)
 	settings := platformtest.VMSettings{
-		Name: "node", IP: "127.0.0.1", Zone: "east", CallersAddress: n.callers, ReadinessAddress: n.readiness, StoreAddress: listen(t, n.store),
+		Name: "node", IP: "127.0.0.1", Zone: "east", CallersAddress: n.callers, ReadinessAddress: n.readiness, StoreAddress: listen(t, failingServer{n.store, &n.storeFails}),
 		FirstInternalPort: ports[2], LastInternalPort: ports[3], GraceSeconds: graceSeconds,
 	}
 	text := settings.YAML() + fmt.Sprintf("limits: {memoryMb: %d, maxFds: %d}\n", memoryMB, fds)
--- a/proof/abuse/standalone_test.go
+++ b/proof/abuse/standalone_test.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httputil"
+	"net/url"
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/apricotmount/apricotmount/operator"
 	"github.com/apricotmount/apricotmount/platform/platformtest"
@@ -43,8 +46,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go site.Serve(ctx, io.Discard)
+	siteURL, err := url.Parse("http://" + addresses[4])
+	if err != nil {
+		t.Fatal(err)
+	}
+	siteAddress := listen(t, failingServer{httputil.NewSingleHostReverseProxy(siteURL), &n.storeFails})
 	text := fmt.Sprintf(`{node: {vm: entry-1, zone: east}, listen: {callers: %q, operators: %q, peers: %q, health: %q}, platform: {log: "http://%s", vms: "http://%s", log-retention: 24h}}`,
-		n.callers, operators, n.peers, n.readiness, addresses[4], addresses[4])
+		n.callers, operators, n.peers, n.readiness, siteAddress, siteAddress)
 	n.settingsPath = filepath.Join(t.TempDir(), "settings.yaml")
 	if err := os.WriteFile(n.settingsPath, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
@@ -88,3 +96,11 @@
 func TestLongHeadsAtHealthPort(t *testing.T) {
 	checkStandalone(t, func(n *node, _ string) string { return n.readiness })
 }
+
+// Bytes without end from the log and in place of the list of VMs must not fill the memory.
+func TestPlatformAnswersWithoutEndAtStandaloneNode(t *testing.T) {
+	n, _ := startStandaloneNode(t)
+	n.storeFails.Store(true)
+	time.Sleep(3 * holdTime)
+	n.checkAlive(maxFDs)
+}
--- a/reply/replytest/server.go
+++ b/reply/replytest/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 )
@@ -114,6 +115,9 @@
 	return err
 }
 
+// Filler is a piece of an answer that is long or has no end.
+var Filler = strings.Repeat("x", 32<<10)
+
 // Chunk returns data as one chunk of a body.
 func Chunk(data string) string {
 	return strconv.FormatInt(int64(len(data)), 16) + "\r\n" + data + "\r\n"
--- a/stream/client.go
+++ b/stream/client.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -16,8 +16,11 @@
 )
 
 const (
-	// maxBatchBytes is the maximum length of the body of one response.
-	maxBatchBytes = 64 << 20
+	// maxBatchBytes is the maximum length of the body of one response. The longest record, a
+	// publication of 4 MiB, takes 5.6 MiB in base64.
+	maxBatchBytes = 8 << 20
+	// batchDivisor divides the number of records to read after a batch that was too long.
+	batchDivisor = 16
 	// readTimeoutMargin is the time allowed for a read in addition to its wait time.
 	readTimeoutMargin = 3 * time.Second
 )
@@ -57,6 +60,16 @@
 	defer func() { err = eris.Wrapf(err, "read stream %s from %d", name, from) }()
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
 	defer cancel()
+	b, err = c.readBatch(ctx, name, from, max, wait)
+	for errors.Is(err, replyconn.ErrBodyTooLong) && max > 1 {
+		max = (max + batchDivisor - 1) / batchDivisor
+		b, err = c.readBatch(ctx, name, from, max, wait)
+	}
+	return b, err
+}
+
+// readBatch sends one request to read records.
+func (c *Client) readBatch(ctx context.Context, name Name, from Offset, max int, wait time.Duration) (b Batch, err error) {
 	query := fmt.Sprintf("?from=%d&max=%d&wait=%s", from, max, wait)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.streamURL(name)+query, nil)
 	if err != nil {
@@ -85,12 +98,9 @@
 		return eris.Errorf("status %d", resp.StatusCode)
 	}
 	// The whole body is read: a value may be complete in a response that breaks off.
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBatchBytes+1))
+	body, err := replyconn.ReadBody(req.Context(), resp.Body, maxBatchBytes)
 	if err != nil {
 		return err
 	}
-	if len(body) > maxBatchBytes {
-		return eris.Errorf("response is longer than %d bytes", maxBatchBytes)
-	}
 	return json.Unmarshal(body, result)
 }
--- a/vm/client.go
+++ b/vm/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -63,7 +62,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return List{}, eris.Errorf("status %d", resp.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	body, err := replyconn.ReadBody(ctx, resp.Body, maxListBytes)
 	if err != nil {
 		return List{}, err
 	}
