reply, dispatch, gateway: log why a response is broken

The line call-failed of an attempt whose target sent bytes that are no response now has the field broken with the reason; before, it read result=broken as for a connection that was cut. The reasons are a fixed list, so nothing that a target sends is logged.

--- a/dispatch/call.go
+++ b/dispatch/call.go
@@ -8,6 +8,7 @@
 	"github.com/apricotmount/apricotmount/outcome"
 	"github.com/apricotmount/apricotmount/profile"
 	"github.com/apricotmount/apricotmount/quarantine"
+	"github.com/apricotmount/apricotmount/reply"
 	"github.com/apricotmount/apricotmount/retry"
 	"github.com/apricotmount/apricotmount/target"
 )
@@ -55,6 +56,8 @@
 	Report target.Report
 	// Reason is why another node has refused the call; empty for targets.
 	Reason outcome.Reason
+	// Broken is why the bytes that were received are no response; empty if none were.
+	Broken reply.Broken
 	// ExtraAttempts is the number of extra attempts charged for the layers below:
 	// without a response, all that they may have made.
 	ExtraAttempts int
--- a/dispatch/decision.go
+++ b/dispatch/decision.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/apricotmount/apricotmount/outcome"
+	"github.com/apricotmount/apricotmount/reply"
 	"github.com/apricotmount/apricotmount/target"
 )
 
@@ -63,6 +64,8 @@
 	Written bool
 	// Reason is why another node has refused the call; empty for targets.
 	Reason outcome.Reason
+	// Broken is why the bytes that a failed attempt received are no response.
+	Broken reply.Broken
 	// Turn is the next turn of a call that is held back, CallsAhead the number of calls
 	// that go before it, and IsRefused reports whether it does not wait for the turn.
 	Turn       target.Turn
@@ -103,7 +106,7 @@
 		d.RunCount, d.ExtraAttemptsLeft = r.runCount, r.allowance.Remaining()
 	}
 	if f != nil {
-		d.Result, d.Written, d.Reason = f.Result, f.Written, f.Reason
+		d.Result, d.Written, d.Reason, d.Broken = f.Result, f.Written, f.Reason, f.Broken
 	}
 	r.dispatcher.Observer.ObserveDecision(r.call, d)
 }
--- a/entry/brokenanswer_test.go
+++ b/entry/brokenanswer_test.go
@@ -8,7 +8,9 @@
 	"sync"
 	"testing"
 
+	"github.com/apricotmount/apricotmount/dispatch"
 	"github.com/apricotmount/apricotmount/profile"
+	"github.com/apricotmount/apricotmount/reply"
 	"github.com/apricotmount/apricotmount/reply/replytest"
 	"github.com/apricotmount/apricotmount/wire"
 )
@@ -52,6 +54,15 @@
 	return h
 }
 
+// failureReasons are the reasons for which the responses of attempts were broken.
+type failureReasons []reply.Broken
+
+func (fr *failureReasons) ObserveDecision(_ *dispatch.Call, d dispatch.Decision) {
+	if d.Kind == dispatch.Failed {
+		*fr = append(*fr, d.Broken)
+	}
+}
+
 // Guards against bytes that are no response and reach the caller as one. Nothing is known of the run of
 // such a call: a safe one gets the response of the next attempt, an unsafe one 502, and the connection is
 // not used again.
@@ -64,10 +75,15 @@
 			}
 			at := &answeringTarget{first: replytest.Answer{Text: sample.Text(ownFields)}}
 			h := newAnsweringHarness(t, p, at)
+			var reasons failureReasons
+			h.handler.Dispatcher.Observer = &reasons
 			resp, body, err := h.do(t, http.MethodPost, "x", "X-Id", "7")
 			if err != nil || resp.StatusCode != wantStatus || body != wantBody {
 				t.Errorf("%s, safe %v: got %v %q (%v), want %d %q", sample.Name, isSafe, resp, body, err, wantStatus, wantBody)
 			}
+			if len(reasons) != 1 || reasons[0] != sample.Want {
+				t.Errorf("%s, safe %v: reasons of failures: got %q, want %q", sample.Name, isSafe, reasons, sample.Want)
+			}
 			if _, _, err := h.do(t, http.MethodPost, "x", "X-Id", "7"); err != nil {
 				t.Fatal(err)
 			}
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -75,7 +75,7 @@
 		if !written && ctx.Err() == nil && isBodyUnread {
 			return nil, nil, true
 		}
-		f := s.attemptFailure(ctx, a, written, timedOut.Load())
+		f := s.attemptFailure(ctx, a, conn, written, timedOut.Load())
 		if f.Result == target.TimedOut {
 			pool.CloseUnresponsiveIdle(startedAt)
 		}
@@ -108,8 +108,8 @@
 	return ctx, timer, timedOut
 }
 
-// attemptFailure classifies an attempt that ended without a complete response.
-func (s *callSender) attemptFailure(ctx context.Context, a dispatch.Attempt, written, timedOut bool) *dispatch.AttemptFailure {
+// attemptFailure classifies an attempt over conn that ended without a complete response.
+func (s *callSender) attemptFailure(ctx context.Context, a dispatch.Attempt, conn *wire.Conn, written, timedOut bool) *dispatch.AttemptFailure {
 	f := &dispatch.AttemptFailure{Result: target.Broken, Written: written, BodyConsumed: !s.body.isReplayable()}
 	switch {
 	case timedOut:
@@ -118,6 +118,8 @@
 		f.Result = target.Cancelled
 	case !written:
 		f.Result = target.ConnectFailed
+	default:
+		f.Broken = conn.Broken()
 	}
 	if written && s.statesAttempts() {
 		// The number of extra attempts made by load balancers downstream is
@@ -156,7 +158,7 @@
 	}
 	if err := targetResponse.bufferBody(s.handler.Settings.ResponseBufferBytes, s.handler.Settings.ResponseSpace); err != nil {
 		targetResponse.release(false)
-		return nil, s.attemptFailure(ctx, a, true, timedOut), false
+		return nil, s.attemptFailure(ctx, a, conn, true, timedOut), false
 	}
 	return targetResponse, nil, false
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -58,6 +58,9 @@
 	if d.Kind == dispatch.Failed {
 		fields = append(fields, zap.Stringer("result", d.Result), zap.Bool("written", d.Written), digestField(c))
 	}
+	if d.Broken != "" {
+		fields = append(fields, zap.String("broken", string(d.Broken)))
+	}
 	if d.Kind == dispatch.HeldBack {
 		fields = append(fields, turnFields(d)...)
 	}
--- a/reply/scanner.go
+++ b/reply/scanner.go
@@ -45,7 +45,8 @@
 	// hasSize reports whether the size of the chunk has a digit, and isSizeEnded whether a blank
 	// follows.
 	hasSize, isSizeEnded bool
-	err                  error
+	// err is nil or a Broken.
+	err error
 }
 
 // part is a part of a response.
@@ -76,10 +77,18 @@
 // IsExpecting reports whether a response is expected or has not ended.
 func (s *Scanner) IsExpecting() bool { return s.part != noResponse }
 
-// Err returns why the connection must not be used for another request: the response is broken, or bytes
-// follow that belong to none.
+// Err returns a Broken, why the connection must not be used for another request: the response is broken,
+// or bytes follow that belong to none.
 func (s *Scanner) Err() error { return s.err }
 
+// End takes the end of the stream. It returns an error if that end is not proved.
+func (s *Scanner) End(e End) error {
+	if s.err == nil && !e.IsProved() {
+		s.err = UnprovedEnd
+	}
+	return s.err
+}
+
 // Scan takes the next bytes. It returns how many of them belong to a response that is expected. A
 // response is whole though bytes follow: these make the next call return an error.
 func (s *Scanner) Scan(p []byte) (n int, err error) {
--- a/replyconn/conn.go
+++ b/replyconn/conn.go
@@ -44,7 +44,7 @@
 	return n, err
 }
 
-// Err returns why the connection must not be used for another request, or nil.
+// Err returns a reply.Broken, why the connection must not be used for another request, or nil.
 func (c *Conn) Err() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -66,8 +66,10 @@
 	if n < received {
 		return n, nil
 	}
-	if err == io.EOF && !c.end().IsProved() {
-		err = reply.UnprovedEnd
+	if err == io.EOF {
+		if endErr := c.scanEnd(); endErr != nil {
+			err = endErr
+		}
 	}
 	return n, err
 }
@@ -79,6 +81,14 @@
 	return c.scanner.Scan(b)
 }
 
+// scanEnd scans the end of the stream.
+func (c *Conn) scanEnd() error {
+	end := c.end()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scanner.End(end)
+}
+
 // end returns what is known of the connection at the end of its stream.
 func (c *Conn) end() (e reply.End) {
 	// In this order: a write that ends between the two has set writeFailed.
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -67,8 +66,8 @@
 // isBroken reports whether a read failed because the target sent bytes that are no response, while the
 // connection itself may be sound.
 func isBroken(err error) bool {
-	var broken reply.Broken
-	return errors.As(err, &broken) && broken != reply.UnprovedEnd
+	broken, ok := err.(reply.Broken)
+	return ok && broken != reply.UnprovedEnd
 }
 
 // Close closes the connection. The transport calls it too, once data has arrived that
@@ -159,6 +158,12 @@
 	return !c.isClosed.Load() && c.netConn.Conn.Err() == nil
 }
 
+// Broken returns why the bytes that the target has sent are no response; it is empty if they are one.
+func (c *Conn) Broken() reply.Broken {
+	broken, _ := c.netConn.Conn.Err().(reply.Broken)
+	return broken
+}
+
 // handleReadError removes the connection from its pool. It is called once, at the
 // first read error: the target closed the connection, or the connection failed.
 func (c *Conn) handleReadError() {
