peer: the test of a node without links takes no port twice

TestNodeWithoutLinksDialsSoonAgain failed once beside the whole check: "bind: address already in use". It closed a listener and opened it again 0.2 s later, while any other process could take its port. The listener now stays and closes each connection at once until the peers are back; the bound on the time is the same.

--- a/peer/isolated_test.go
+++ b/peer/isolated_test.go
@@ -3,12 +3,29 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/apricotmount/apricotmount/vm"
 )
 
+// gatedListener closes each connection at once until it is open.
+type gatedListener struct {
+	net.Listener
+	isOpen atomic.Bool
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil || l.isOpen.Load() {
+			return c, err
+		}
+		c.Close()
+	}
+}
+
 // A node that was cut off from all others has no link when it is back. It must not wait as
 // long as one that has lost a single peer.
 func TestNodeWithoutLinksDialsSoonAgain(t *testing.T) {
@@ -17,17 +34,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := l.Addr().String()
-	l.Close()
-	h, _, _ := startHub(t, 1, "", vm.Address(address))
-	time.Sleep(200 * time.Millisecond)
+	gated := &gatedListener{Listener: l}
 	accepting, _, _ := startHub(t, 2, "")
-	if l, err = net.Listen("tcp", address); err != nil {
-		t.Fatal(err)
-	}
 	server := &http.Server{Handler: accepting}
-	go server.Serve(l)
+	go server.Serve(gated)
 	t.Cleanup(func() { server.Close() })
+	h, _, _ := startHub(t, 1, "", vm.Address(l.Addr().String()))
+	time.Sleep(200 * time.Millisecond)
+	gated.isOpen.Store(true)
 	backAt := time.Now()
 	waitFor(t, "a link", func() bool { return len(h.Links()) > 0 })
 	if got := time.Since(backAt); got > maxDelay {
