wire, entry, gateway, relay: tests share one raw server

Five copies of a listener whose connections are served with bytes of their own become replytest.StartRaw. The endless server of the gateway's tests gets a small send buffer and the bound of 1 MB in place of 4, as that of entry did.

--- a/entry/upload_test.go
+++ b/entry/upload_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/apricotmount/apricotmount/intake"
 	"github.com/apricotmount/apricotmount/outcome"
+	"github.com/apricotmount/apricotmount/reply/replytest"
 	"github.com/apricotmount/apricotmount/service"
 	"github.com/apricotmount/apricotmount/wire"
 )
@@ -23,13 +24,8 @@
 // body from br itself and writes the response to c.
 func uploadTarget(t *testing.T, serve func(c net.Conn, r *http.Request, br *bufio.Reader)) (address string, calls *atomic.Int32) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	calls = new(atomic.Int32)
-	serveConn := func(c net.Conn) {
+	address = replytest.StartRaw(t, func(c *net.TCPConn) {
 		defer c.Close()
 		br := bufio.NewReader(c)
 		for {
@@ -45,17 +41,8 @@
 			serve(c, r, br)
 			return
 		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveConn(c)
-		}
-	}()
-	return l.Addr().String(), calls
+	})
+	return address, calls
 }
 
 // newUploadHarness returns a harness with a short replay buffer, so that longer bodies
--- a/gateway/copied_test.go
+++ b/gateway/copied_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/apricotmount/apricotmount/platform"
 	"github.com/apricotmount/apricotmount/platform/platformtest"
+	"github.com/apricotmount/apricotmount/reply/replytest"
 )
 
 // copyingServer runs most calls and refuses some. Before some responses it writes a copy of an
@@ -39,21 +40,7 @@
 
 func (s *copyingServer) start(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	return l.Addr().String()
+	return replytest.StartRaw(t, func(c *net.TCPConn) { s.serve(c) })
 }
 
 func (s *copyingServer) serve(conn net.Conn) {
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/apricotmount/apricotmount/platform"
 	"github.com/apricotmount/apricotmount/platform/platformtest"
+	"github.com/apricotmount/apricotmount/reply/replytest"
 )
 
 // endlessServer answers health checks like a target and begins an endless answer to each
@@ -29,30 +30,20 @@
 }
 
 // maxEndlessBytes is how much of an endless head may leave the server: what the node reads of
-// it and what the buffers of a connection hold.
-const maxEndlessBytes = 4 << 20
+// it and what the buffers of a connection hold. sendBufferBytes is the one of the server.
+const (
+	maxEndlessBytes = 1 << 20
+	sendBufferBytes = 64 << 10
+)
 
 func (s *endlessServer) start() string {
 	s.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	return l.Addr().String()
+	return replytest.StartRaw(s.t, s.serve)
 }
 
-func (s *endlessServer) serve(conn net.Conn) {
+func (s *endlessServer) serve(conn *net.TCPConn) {
 	defer conn.Close()
+	_ = conn.SetWriteBuffer(sendBufferBytes)
 	r := bufio.NewReader(conn)
 	for {
 		req, err := http.ReadRequest(r)
--- a/relay/brokenhead_test.go
+++ b/relay/brokenhead_test.go
@@ -1,10 +1,7 @@
 package relay
 
 import (
-	"bufio"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -19,38 +16,14 @@
 // connection.
 func startBreakingNode(t *testing.T, id vm.ID, head string) vm.VM {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveBreaking(c, head)
-		}
-	}()
-	return vm.VM{ID: id, Address: vm.Address(l.Addr().String()), Zone: "east"}
-}
-
-func serveBreaking(c net.Conn, head string) {
-	defer c.Close()
-	br := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(br)
-		if err != nil {
-			return
-		}
-		io.Copy(io.Discard, r.Body)
+	const probed = "HTTP/1.1 200 OK\r\n" + headerInstance + ": 1\r\n" + headerState + ": " + stateLive + "\r\nContent-Length: 0\r\n\r\n"
+	address := replytest.Start(t, func(r *http.Request) replytest.Answer {
 		if r.URL.Path != probePath {
-			io.WriteString(c, head)
-			return
+			return replytest.Answer{Text: head, IsBodyRead: true, End: replytest.Close}
 		}
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", headerInstance, headerState, stateLive)
-	}
+		return replytest.Answer{Text: probed}
+	})
+	return vm.VM{ID: id, Address: vm.Address(address), Zone: "east"}
 }
 
 // Guards against a response whose head broke off between two nodes and which reaches the
--- a/reply/replytest/server.go
+++ b/reply/replytest/server.go
@@ -46,6 +46,13 @@
 // Start starts a server that answers each request as answer states, and returns its address. It ends
 // with the test. RemoteAddr of a request tells the connections apart.
 func Start(t testing.TB, answer func(r *http.Request) Answer) (address string) {
+	t.Helper()
+	return StartRaw(t, func(c *net.TCPConn) { serveAnswers(c, answer) })
+}
+
+// StartRaw starts a server that serves each connection by serve, in a goroutine of its own, and returns its
+// address. It ends with the test; serve must close its connection.
+func StartRaw(t testing.TB, serve func(c *net.TCPConn)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -58,14 +65,14 @@
 			if err != nil {
 				return
 			}
-			go serve(c.(*net.TCPConn), answer)
+			go serve(c.(*net.TCPConn))
 		}
 	}()
 	return l.Addr().String()
 }
 
-// serve answers the requests of one connection.
-func serve(c *net.TCPConn, answer func(r *http.Request) Answer) {
+// serveAnswers answers the requests of one connection.
+func serveAnswers(c *net.TCPConn, answer func(r *http.Request) Answer) {
 	defer c.Close()
 	br := bufio.NewReader(c)
 	for {
--- a/wire/ended_test.go
+++ b/wire/ended_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/apricotmount/apricotmount/reply/replytest"
 	"github.com/apricotmount/apricotmount/target"
 	"github.com/apricotmount/apricotmount/vm"
 )
@@ -40,8 +41,8 @@
 		{"the process responds", respondAs("i-1"), false},
 		{"another process responds", respondAs("i-2"), true},
 		{"connections are refused", refusing.Addr().String(), true},
-		{"connections are closed at once", startRawServer(t, func(c net.Conn) { c.Close() }), true},
-		{"connections are silent", startRawServer(t, func(net.Conn) {}), false},
+		{"connections are closed at once", replytest.StartRaw(t, func(c *net.TCPConn) { c.Close() }), true},
+		{"connections are silent", replytest.StartRaw(t, func(*net.TCPConn) {}), false},
 	} {
 		start := time.Now()
 		if got := hasEnded(tt.address); got != tt.want {
--- a/wire/pool_test.go
+++ b/wire/pool_test.go
@@ -26,7 +26,7 @@
 // requests on the connection so far.
 func startRawTarget(t *testing.T, serve func(w io.Writer, r *http.Request, n int)) (address string) {
 	t.Helper()
-	return startRawServer(t, func(c net.Conn) {
+	return replytest.StartRaw(t, func(c *net.TCPConn) {
 		defer c.Close()
 		br := bufio.NewReader(c)
 		for n := 1; ; n++ {
@@ -39,26 +39,6 @@
 	})
 }
 
-// startRawServer serves each connection by serve, in a goroutine of its own.
-func startRawServer(t *testing.T, serve func(c net.Conn)) (address string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
-}
-
 // A target sends the response to a call a second time, late: when a load query is already
 // under way on the connection. The copy must not be taken for the response to the query,
 // nor the connection be used again.
