--- a/intake/space.go
+++ b/intake/space.go
@@ -2,8 +2,8 @@
 
 import "sync/atomic"
 
-// Space bounds the memory that buffers take together. Without a limit, a zero value only counts it, and
-// nil takes any buffer. It is safe for concurrent use.
+// Space bounds the memory that buffers take together. The zero value and nil have no limit. It is safe for
+// concurrent use.
 type Space struct {
 	// Limit is the maximum of all buffers, in bytes; zero means no limit.
 	Limit int64
@@ -30,5 +30,5 @@
 	}
 }
 
-// Used returns the number of bytes in use.
+// Used returns the number of bytes in use. The Space must not be nil.
 func (s *Space) Used() int64 { return s.used.Load() }
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -11,5 +11,6 @@
 //
 // Data belongs to a response only if it arrives while a request is open. A target may send a
 // response twice: data at any other time ends the connection before the next request, and
-// Protocol.IDHeader identifies a copy that arrives during that request.
+// Protocol.IDHeader identifies a copy that arrives during that request. Package replyconn, below the
+// transport, ends a connection on which the target sends bytes that are no response.
 package wire
