--- a/review/yard/moved.go
+++ b/review/yard/moved.go
@@ -11,13 +11,17 @@
 
 func init() { scripts["moved"] = runMoved }
 
-const movedConfiguration = `{"version":3,"services":[{"name":"roundbook","healthPath":"/health","maxConns":220,"warmupS":3.0,"warmupPerS":6.2},
+const movedConfiguration = `{"version":%d,"services":[{"name":"roundbook","healthPath":"/health","maxConns":220,"warmupS":3.0,"warmupPerS":6.2},
 {"name":"khata","healthPath":"/health","maxConns":220,"warmupS":3.0,"warmupPerS":6.2},{"name":"hisab","healthPath":"/health","maxConns":220,"warmupS":3.0,"warmupPerS":6.2}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "hosts":[{"host":"jepu9.example","paths":[
 {"name":"sheet","pathPrefix":"/sheet/","routeType":"safe","timeoutMs":1200,"targetLatencyMs":600,"priority":2,"service":"roundbook","maxAttempts":2},
 {"name":"pay","pathPrefix":"/pay/","routeType":"unsafe","timeoutMs":1500,"targetLatencyMs":800,"priority":1,"service":"khata","maxAttempts":1},
-{"name":"dues","pathPrefix":"/dues/","routeType":"safe","timeoutMs":3000,"targetLatencyMs":1500,"priority":2,"service":"hisab","maxAttempts":2}]}]}`
+{"name":"dues","pathPrefix":"/dues/","routeType":"safe","timeoutMs":3000,"targetLatencyMs":1500,"priority":2,"service":"hisab","maxAttempts":2}%s]}]}`
+
+// addedRoute is the route that the operator adds.
+const addedRoute = `,
+{"name":"bill","pathPrefix":"/bill/","routeType":"unsafe","timeoutMs":1500,"targetLatencyMs":800,"priority":1,"service":"khata","maxAttempts":1}`
 
 // kind is a kind of request.
 type kind struct {
@@ -32,6 +36,9 @@
 	{"dues", "hisab", http.MethodGet, 550 * time.Millisecond, 4, 6000},
 }
 
+// addedKind is the kind of request of the route that the operator adds.
+var addedKind = kind{"bill", "khata", http.MethodPost, 290 * time.Millisecond, 2, 3000}
+
 const (
 	serversPerService = 6
 	// returnInterval is the time between the failures of two zones, and downTime how long the
@@ -39,13 +46,18 @@
 	returnInterval = 5 * time.Second
 	downTime       = 2 * time.Second
 	beforeReturns  = 4 * time.Second
-	afterReturns   = 75 * time.Second
+	afterReturns   = 65 * time.Second
+	// settleTime is the time from the change of the configuration until all is calm for long.
+	settleTime = 10 * time.Second
+	// minAdded is the number of requests on added routes from which the rule applies.
+	minAdded = 20
 )
 
-// runMoved lets the servers of a service go down and come back, zone by zone. They start again
-// under their IDs, at other addresses.
+// runMoved lets the operator add a route of a service. With the disruption, the servers of that
+// service have gone down and come back before, zone by zone. They start again under their IDs, at
+// other addresses.
 func runMoved(y *yard, hasTrouble bool) (isBroken bool, err error) {
-	y.publish(movedConfiguration)
+	y.publish(fmt.Sprintf(movedConfiguration, 3, ""))
 	for _, k := range kinds {
 		for i := range serversPerService {
 			s := &server{id: fmt.Sprintf("i-%s-%d", k.service, i+1), service: k.service, zone: zones[i%len(zones)], slots: 6, coldTime: 3 * time.Second, work: func(*http.Request) time.Duration { return k.work }}
@@ -78,11 +90,15 @@
 		}
 		time.Sleep(returnInterval - downTime)
 	}
-	l.printShares("soon after the last servers were back")
+	y.record.printf("the operator adds a route")
+	y.publish(fmt.Sprintf(movedConfiguration, 5, addedRoute))
+	time.Sleep(settleTime)
+	l.wait.Go(func() { l.send(addedKind) })
+	before := l.printShares("before the steady state", kinds)
 	time.Sleep(afterReturns)
 	close(l.stop)
 	l.wait.Wait()
-	return l.judge(), nil
+	return l.judge(before), nil
 }
 
 // returnServers lets the servers of a service in a zone crash and start again under their IDs.
@@ -167,26 +183,29 @@
 	l.served[k.name]++
 }
 
-// printShares records which share of each kind was served so far, and returns the least share and
-// that of all requests.
-func (l *kindLoad) printShares(when string) (least, all float64) {
+// shares are numbers of requests that were sent, and of those that were served.
+type shares struct{ sent, served int }
+
+func (s shares) share() float64 { return float64(s.served) / float64(max(1, s.sent)) }
+
+// printShares records how many requests of some kinds were served so far, and returns their sum.
+func (l *kindLoad) printShares(when string, kinds []kind) (sum shares) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	least = 1
-	sent, served := 0, 0
 	for _, k := range kinds {
-		share := float64(l.served[k.name]) / float64(l.sent[k.name])
-		l.yard.record.printf("%s: %s served %d of %d, %.3f", when, k.name, l.served[k.name], l.sent[k.name], share)
-		least = min(least, share)
-		sent, served = sent+l.sent[k.name], served+l.served[k.name]
+		one := shares{l.sent[k.name], l.served[k.name]}
+		l.yard.record.printf("%s: %s served %d of %d, %.3f", when, k.name, one.served, one.sent, one.share())
+		sum.sent, sum.served = sum.sent+one.sent, sum.served+one.served
 	}
-	all = float64(served) / float64(sent)
-	l.yard.record.printf("%s: all served %d of %d, %.3f", when, served, sent, all)
-	return least, all
+	return sum
 }
 
-// judge returns whether a kind of request was served less than a quarter as often as all.
-func (l *kindLoad) judge() (isBroken bool) {
-	least, all := l.printShares("in all")
-	return least < all/4
+// judge returns whether, in the steady state, requests on the added route were served less than a
+// quarter as often as those on the first routes.
+func (l *kindLoad) judge(before shares) (isBroken bool) {
+	first := l.printShares("in all", kinds)
+	added := l.printShares("in all", []kind{addedKind})
+	first.sent, first.served = first.sent-before.sent, first.served-before.served
+	l.yard.record.printf("in the steady state: first routes %d of %d, %.3f; added route %d of %d, %.3f", first.served, first.sent, first.share(), added.served, added.sent, added.share())
+	return added.sent >= minAdded && added.share() < first.share()/4
 }
