review: case 11, early answers to uploads cut, without a proxy

Cause: as in the former case 12: entry closes the connection of an upload that was not read to its end, and net/http does not linger for a body that gateway has replaced by an http.MaxBytesReader. The former cases 11 and 13 are shown by review cases 6 and 1.

Added: the case as number 11, with clients that hold the slow link themselves. Removed: the former cases 11 and 13 with their stand-ins.

--- a/review/yard/early.go
+++ b/review/yard/early.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -48,18 +47,13 @@
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
-	k, err := newLink(y.nodes[0].front)
-	if err != nil {
-		return false, err
-	}
-	y.closers = append(y.closers, k.close)
 	clients := make([]*uploader, earlyClients)
 	var wg sync.WaitGroup
 	for i := range clients {
 		clients[i] = &uploader{yard: y, number: i}
 		wg.Go(func() {
 			for range uploadsPerClient {
-				clients[i].run(k.address())
+				clients[i].run(y.nodes[0].front)
 			}
 		})
 	}
@@ -78,7 +72,7 @@
 }
 
 func (u *uploader) run(address string) {
-	conn, err := net.Dial("tcp", address)
+	conn, err := dialSlow(address)
 	if err != nil {
 		u.yard.record.printf("client %d: %v", u.number, err)
 		return
--- a/review/yard/server.go
+++ b/review/yard/server.go
@@ -30,15 +30,18 @@
 	// answersEarly makes the server answer before it has read a long body. It keeps the
 	// connection and reads on.
 	answersEarly bool
-	// coldTime is how long the server is cold after a start during traffic.
-	coldTime time.Duration
+	// clockAhead is how far the clock of the server's machine is ahead.
+	clockAhead time.Duration
 
 	mu   sync.Mutex
 	runs []*runOfRequest
 	// closeProcess ends the process that runs, and ended is closed then; nil if none runs.
 	closeProcess func()
 	ended        chan struct{}
-	coldUntil    time.Time
+	// isDraining reports whether the server is about to leave.
+	isDraining bool
+	// drained lets the server write its entry at once.
+	drained chan struct{}
 }
 
 // setProcess records the process that runs.
@@ -60,18 +63,22 @@
 	}
 }
 
-// makeCold makes the server cold for its time.
-func (s *server) makeCold() {
+// state returns the state that the server writes about itself.
+func (s *server) state() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.coldUntil = time.Now().Add(s.coldTime)
+	if s.isDraining {
+		return "draining"
+	}
+	return "ready"
 }
 
-// coldLeft returns how much longer the server is cold.
-func (s *server) coldLeft() time.Duration {
+// drain makes the server say that it is about to leave.
+func (s *server) drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(0, time.Until(s.coldUntil))
+	s.isDraining = true
+	s.drained <- struct{}{}
 }
 
 // runOfRequest is one request that the server began to work on.
@@ -93,7 +100,7 @@
 	h.Set("X-Apricotmount-Server-Load", fmt.Sprintf("%d,%d,%d,100", s.running.Load(), s.waiting.Load(), s.slots))
 	if r.URL.Path == "/health" {
 		h.Set("X-Apricotmount-Instance-Id", s.id)
-		h.Set("X-Apricotmount-Warmup-Ms", strconv.FormatInt(s.coldLeft().Milliseconds(), 10))
+		h.Set("X-Apricotmount-Warmup-Ms", "0")
 		return
 	}
 	id := r.Header.Get("X-Apricotmount-Attempt-Id")
--- a/review/yard/yard.go
+++ b/review/yard/yard.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -71,11 +72,10 @@
 	return y.startServer(s)
 }
 
-// startServer starts the process of a server, at a free address.
-func (y *yard) startServer(s *server) error { return y.startServerAt(s, "127.0.0.1:0") }
-
-// startServerInPlace starts the process of a server at its former address.
-func (y *yard) startServerInPlace(s *server) error { return y.startServerAt(s, s.address) }
+// startServer starts the process of a server, at the address of the last one or else a free one.
+func (y *yard) startServer(s *server) error {
+	return y.startServerAt(s, cmp.Or(s.address, "127.0.0.1:0"))
+}
 
 // startServerAt starts the process of a server.
 func (y *yard) startServerAt(s *server, address string) error {
@@ -89,19 +89,23 @@
 		// The error is that of a server that was closed.
 		_ = h.Serve(l)
 	}()
-	born, ended := time.Now().UnixMilli(), make(chan struct{})
+	born, ended := time.Now().Add(s.clockAhead).UnixMilli(), make(chan struct{})
 	s.setProcess(func() { h.Close() }, ended)
-	y.record.printf("server %s of %s in %s starts at %s", s.id, s.service, s.zone, s.address)
-	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","born":%d,`, s.service, s.address, s.zone, s.slots, born)
+	y.record.printf("server %s of %s in %s starts at %s, born %d", s.id, s.service, s.zone, s.address, born)
+	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"warmupLeftMs":0,"born":%d,`, s.service, s.address, s.zone, s.slots, born)
 	write := func(sequence int) {
-		y.store.Put(platformtest.TargetsTopic, s.id, fmt.Sprintf(`%s"warmupLeftMs":%d,"sequence":%d}`, text, s.coldLeft().Milliseconds(), sequence))
+		y.store.Put(platformtest.TargetsTopic, s.id, fmt.Sprintf(`%s"state":%q,"sequence":%d}`, text, s.state(), sequence))
 	}
 	write(1)
+	s.drained = make(chan struct{}, 1)
 	y.beats.Go(func() {
 		for sequence := 2; ; sequence++ {
 			select {
 			case <-time.After(heartbeat):
 				write(sequence)
+			case <-s.drained:
+				write(sequence)
+				y.record.printf("the store has taken that server %s is draining", s.id)
 			case <-ended:
 				return
 			}
