--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bin/review-yard ] && [ -x target/bin/apricotmount ] || exit 2
-exec target/bin/review-yard --record review/14/record.txt quota
+exec target/bin/review-yard --record review/14/record.txt pipelined
